--- /dev/null
+++ b/cmd/chalkhub/main.go
@@ -0,0 +1,151 @@
+// Command chalkhub is the controller of a cluster of machines.
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/goccy/go-json"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chalkhub/chalkhub/internal/api"
+	"github.com/chalkhub/chalkhub/internal/cloud"
+	"github.com/chalkhub/chalkhub/internal/config"
+	"github.com/chalkhub/chalkhub/internal/core"
+	"github.com/chalkhub/chalkhub/internal/engine"
+	"github.com/chalkhub/chalkhub/internal/peer"
+	"github.com/chalkhub/chalkhub/internal/state"
+	"github.com/chalkhub/chalkhub/internal/worker"
+)
+
+// version is set by the linker in releases.
+var version = "devel"
+
+type cli struct {
+	Run     runCmd           `cmd:"" default:"withargs" help:"Run a controller (the default)."`
+	Check   checkCmd         `cmd:"" help:"Check a settings file and a policy script, and say what is wrong."`
+	Version kong.VersionFlag `help:"Print the version."`
+}
+
+type files struct {
+	Config string `required:"" placeholder:"FILE" help:"Settings file that the platform hands over (JSON)."`
+	Policy string `placeholder:"FILE" help:"Operators' policy script (Starlark)."`
+}
+
+func (f *files) load() (*config.Settings, config.Policy, error) {
+	policy := config.DefaultPolicy()
+	set, err := config.Load(f.Config)
+	if err == nil && f.Policy != "" {
+		policy, err = config.LoadPolicy(f.Policy)
+	}
+	return set, policy, err
+}
+
+type checkCmd struct{ files }
+
+func (c *checkCmd) Run() error {
+	if _, _, err := c.load(); err != nil {
+		return err
+	}
+	fmt.Println("ok")
+	return nil
+}
+
+type runCmd struct{ files }
+
+func (c *runCmd) Run() error {
+	set, policy, err := c.load()
+	if err != nil {
+		return err
+	}
+	return run(set, policy)
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("chalkhub"), kong.Description("Cluster scheduler."), kong.Vars{"version": version})
+	k.FatalIfErrorf(k.Run())
+}
+
+func logger() (*slog.Logger, slog.Level) {
+	level := slog.LevelInfo
+	switch strings.ToLower(os.Getenv("LOG_LEVEL")) {
+	case "error":
+		level = slog.LevelError
+	case "debug":
+		level = slog.LevelDebug
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})), level
+}
+
+func run(set *config.Settings, policy config.Policy) error {
+	// One core at a time is ours, and memory over the limit ends the process.
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(set.Site.Resources.RAMMB * 0.7 * (1 << 20)))
+	log, level := logger()
+	log = log.With("node", set.Label)
+
+	var id [8]byte
+	if _, err := rand.Read(id[:]); err != nil {
+		return err
+	}
+	c := core.New(set, policy, hex.EncodeToString(id[:]), level <= slog.LevelDebug)
+	e := engine.New(c, log)
+
+	span := func(s float64) time.Duration { return config.Seconds(s) }
+	report := span(set.Site.Workers.ReportS)
+	siblings := map[string]string{}
+	for _, s := range set.Siblings {
+		siblings[s.Label] = s.Address
+	}
+	status := func() ([]byte, bool) {
+		r, ok := e.Ask(func(id core.RequestID) core.Command { return core.StatusPage{ID: id} }, time.Second)
+		if !ok {
+			return nil, false
+		}
+		b, err := json.Marshal(r.Body)
+		return b, err == nil
+	}
+	links := peer.New(siblings, report/10, report, e.Post, status)
+	out := engine.Outside{
+		State:  state.New(set.External.State, time.Second, e.Clock),
+		Cloud:  cloud.New(set.External.Cloud),
+		Worker: worker.New(report),
+		Peer:   links,
+	}
+	e.Connect(out)
+
+	users, err := net.Listen("tcp4", set.Listen)
+	if err != nil {
+		return err
+	}
+	peers, err := net.Listen("tcp4", set.PeerListen)
+	if err != nil {
+		return err
+	}
+	log.Info("started", "version", version, "serve_on", set.Listen, "peer_listen", set.PeerListen)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return e.Run(ctx) })
+	g.Go(func() error { return api.New(e, set.Site.Resources.MaxSockets*3/5).Serve(ctx, users) })
+	g.Go(func() error { return links.Serve(ctx, peers) })
+	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	log.Info("stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/api/server.go
@@ -0,0 +1,140 @@
+// Package api serves users, workers and health checks.
+package api
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/chalkhub/chalkhub/internal/core"
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// Asker is the engine as the server sees it.
+type Asker interface {
+	Ask(func(core.RequestID) core.Command, time.Duration) (core.Reply, bool)
+	Ready() bool
+}
+
+// Server answers HTTP requests.
+type Server struct {
+	engine  Asker
+	http    *fasthttp.Server
+	timeout time.Duration
+}
+
+// patience is how long a user's request may take: below the 2 s that a poll
+// waits, so that the answer to repeat it still arrives.
+const patience = 1800 * time.Millisecond
+
+// New makes a server that holds at most conns connections.
+func New(engine Asker, conns int) *Server {
+	s := &Server{engine: engine, timeout: patience}
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		ErrorHandler:          broken,
+		Name:                  "chalkhub",
+		Concurrency:           conns,
+		MaxRequestBodySize:    wire.MaxBody,
+		ReadBufferSize:        4096,
+		WriteBufferSize:       4096,
+		IdleTimeout:           2 * time.Minute,
+		ReadTimeout:           2 * time.Minute,
+		WriteTimeout:          10 * time.Second,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		CloseOnShutdown:       true,
+	}
+	return s
+}
+
+// Serve answers until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	err := s.http.Serve(l)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
+func broken(ctx *fasthttp.RequestCtx, err error) {
+	why := "malformed request"
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		why = "the body is over 64 KiB"
+	}
+	write(ctx, 400, wire.ErrorAnswer{Error: why}, 0)
+}
+
+func write(ctx *fasthttp.RequestCtx, status int, body any, retry time.Duration) {
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(status)
+	ctx.SetContentType(wire.ContentType)
+	if retry > 0 {
+		ctx.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(retry.Seconds()))))
+	}
+	ctx.Response.SetBodyRaw(wire.Encode(body))
+}
+
+const runsPath = "/v2/runs"
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == "/v1/report" && ctx.IsPost():
+		s.report(ctx)
+	case path == runsPath && ctx.IsPost():
+		job, err := wire.DecodeJob(ctx.PostBody())
+		if err != nil {
+			write(ctx, 400, wire.ErrorAnswer{Error: err.Error()}, 0)
+			return
+		}
+		s.ask(ctx, func(id core.RequestID) core.Command { return core.Submit{ID: id, Job: job} })
+	case path == "/ready" && ctx.IsGet():
+		if s.engine.Ready() {
+			ctx.SetStatusCode(200)
+		} else {
+			write(ctx, 503, wire.ErrorAnswer{Error: "not ready"}, time.Second)
+		}
+	case strings.HasPrefix(path, runsPath+"/"):
+		ref, verb, _ := strings.Cut(path[len(runsPath)+1:], "/")
+		switch {
+		case verb == "" && ctx.IsGet():
+			s.ask(ctx, func(id core.RequestID) core.Command { return core.Query{ID: id, Job: ref} })
+		case verb == "abort" && ctx.IsPost():
+			s.ask(ctx, func(id core.RequestID) core.Command { return core.Abort{ID: id, Job: ref} })
+		default:
+			write(ctx, 404, wire.ErrorAnswer{Error: "no such page"}, 0)
+		}
+	default:
+		write(ctx, 404, wire.ErrorAnswer{Error: "no such page"}, 0)
+	}
+}
+
+func (s *Server) report(ctx *fasthttp.RequestCtx) {
+	var rep wire.Report
+	if err := wire.Decode(ctx.PostBody(), &rep); err != nil || rep.Machine == "" {
+		write(ctx, 400, wire.ErrorAnswer{Error: "malformed report"}, 0)
+		return
+	}
+	s.ask(ctx, func(id core.RequestID) core.Command { return core.WorkerReport{ID: id, Report: rep} })
+	if ctx.Response.StatusCode() == 421 {
+		ctx.SetConnectionClose()
+	}
+}
+
+func (s *Server) ask(ctx *fasthttp.RequestCtx, build func(core.RequestID) core.Command) {
+	r, ok := s.engine.Ask(build, s.timeout)
+	if !ok {
+		write(ctx, 503, wire.ErrorAnswer{Error: "busy"}, time.Second)
+		return
+	}
+	write(ctx, r.Status, r.Body, r.RetryAfter)
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,241 @@
+// Package core decides everything and touches nothing: commands go in, effects
+// come out. It has no clock, no sockets and no goroutines of its own.
+//
+// Each part of it owns one thing: ledger the mirror of the state service,
+// membership the lease, the leader key and the map, part the machines of this
+// member, orchestrator the shared queue, estimator the history of durations and
+// fleet the machines that are rented.
+package core
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/config"
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// Now is a moment: the steady clock measures spans, the time of day only dates.
+type Now struct {
+	Steady time.Duration
+	Wall   float64 // seconds
+}
+
+// drift is how far two steady clocks may part, as a share of the span.
+const drift = 0.0005
+
+// Core is the state of one controller.
+type Core struct {
+	set    *config.Settings
+	policy config.Policy
+	boot   string
+	times  times
+	debug  bool
+
+	now     Now
+	out     []Effect
+	timers  timerHeap
+	timerID uint64
+	loop    []func() // messages to this node's own other half
+
+	ledger  *ledger
+	members *membership
+	part    *part
+	orch    *orchestrator
+	est     *estimator
+	fleet   *fleet
+}
+
+// times are the spans the rules rest on, as ratios to the settings.
+type times struct {
+	lease  time.Duration // what a worker's lease is
+	report time.Duration // how often workers report
+	ttl    time.Duration // our own lease in the state service
+	fresh  time.Duration // how long a renewal or a mirror counts as fresh
+	gone   time.Duration // silence after which a worker has dropped its tasks
+	round  time.Duration // orchestrator's round
+}
+
+func newTimes(s *config.Settings) times {
+	var t times
+	t.lease = config.Seconds(s.Site.Workers.LeaseS)
+	t.report = config.Seconds(s.Site.Workers.ReportS)
+	// A member that dies keeps its key for ttl, so ttl bounds a take-over; one
+	// that is cut off from the state service answers workers only for fresh,
+	// which must end before ttl does. fresh + lease stays below cancel_s.
+	t.ttl = t.lease * 2 / 5
+	t.fresh = t.ttl * 17 / 20
+	t.gone = t.lease + time.Duration(4*drift*float64(t.lease+t.fresh)) + t.report/8
+	t.round = time.Second
+	return t
+}
+
+// New makes the core of a controller. boot must differ in every process.
+func New(set *config.Settings, policy config.Policy, boot string, debug bool) *Core {
+	c := &Core{set: set, policy: policy, boot: boot, debug: debug, times: newTimes(set)}
+	c.ledger = newLedger(c)
+	c.members = newMembership(c)
+	c.part = newPart(c)
+	c.est = newEstimator(c)
+	c.fleet = newFleet(c)
+	c.orch = newOrchestrator(c)
+	return c
+}
+
+// Apply works through a batch of commands and returns what is to be done. The
+// returned slice is valid until the next call.
+func (c *Core) Apply(now Now, commands []Command) []Effect {
+	c.now = now
+	c.out = c.out[:0]
+	for _, cmd := range commands {
+		c.apply(cmd)
+	}
+	c.runTimers()
+	c.members.react()
+	c.orch.react()
+	c.fleet.react()
+	c.part.react()
+	for len(c.loop) > 0 {
+		f := c.loop[0]
+		c.loop = c.loop[1:]
+		f()
+		if len(c.loop) == 0 {
+			c.part.react()
+		}
+	}
+	return c.out
+}
+
+func (c *Core) apply(cmd Command) {
+	switch cmd := cmd.(type) {
+	case Tick:
+	case Submit:
+		c.ledger.submit(cmd.ID, cmd.Job)
+	case Query:
+		c.ledger.query(cmd.ID, cmd.Job)
+	case Abort:
+		c.ledger.abort(cmd.ID, cmd.Job, 0)
+	case WorkerReport:
+		c.part.report(cmd.ID, &cmd.Report)
+	case StatusPage:
+		c.emit(Reply{ID: cmd.ID, Status: 200, Body: c.status()})
+	case CommitDone:
+		c.ledger.committed(cmd)
+	case LoadDone:
+		c.ledger.loaded(cmd)
+	case FollowDone:
+		c.ledger.followed(cmd)
+	case LeaseDone:
+		c.members.leased(cmd)
+	case DoDone:
+		c.part.didDo(&cmd)
+	case TypesDone:
+		c.fleet.gotTypes(cmd)
+	case ListDone:
+		c.fleet.listed(cmd)
+	case HireDone:
+		c.fleet.hired(cmd)
+	case DeleteDone:
+		c.fleet.deleted(cmd)
+	case PeerUp:
+		c.peerUp(cmd)
+	case PeerDown:
+		c.peerDown(cmd)
+	case PeerLine:
+		c.peerLine(cmd)
+	default:
+		panic("core: unknown command")
+	}
+}
+
+func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
+
+func (c *Core) info(text string, args ...any) {
+	c.emit(Log{Level: LevelInfo, Text: text, Args: args})
+}
+
+func (c *Core) debugf(text string, args ...any) {
+	if c.debug {
+		c.emit(Log{Level: LevelDebug, Text: text, Args: args})
+	}
+}
+
+// peerUp and its kin tell a link we dialled (to the leader) from one a member
+// dialled (we may be its leader).
+func (c *Core) peerUp(p PeerUp) {
+	if p.Label != "" {
+		c.part.linkUp(p.Session)
+	} else {
+		c.orch.linkUp(p.Session)
+	}
+}
+
+func (c *Core) peerDown(p PeerDown) {
+	c.part.linkDown(p.Session)
+	c.orch.linkDown(p.Session)
+}
+
+func (c *Core) peerLine(p PeerLine) {
+	if p.Session == c.part.link {
+		c.part.fromLeader(&p.Message)
+	} else {
+		c.orch.fromPart(p.Session, &p.Message)
+	}
+}
+
+// after runs f once d has passed.
+func (c *Core) after(d time.Duration, f func()) {
+	c.timerID++
+	heap.Push(&c.timers, timer{at: c.now.Steady + d, id: c.timerID, f: f})
+}
+
+func (c *Core) runTimers() {
+	for len(c.timers) > 0 && c.timers[0].at <= c.now.Steady {
+		heap.Pop(&c.timers).(timer).f()
+	}
+}
+
+// Next is when the core wants to be called even if nothing happens.
+func (c *Core) Next() time.Duration {
+	next := c.now.Steady + c.times.round/4
+	if len(c.timers) > 0 && c.timers[0].at < next {
+		next = c.timers[0].at
+	}
+	return next
+}
+
+type timer struct {
+	at time.Duration
+	id uint64
+	f  func()
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].id < h[j].id
+}
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*h = old[:len(old)-1]
+	return x
+}
+
+// scaled turns a span into one that holds on every clock.
+func scaled(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+
+func (c *Core) team(name string) *config.Team {
+	for i := range c.set.Site.Teams {
+		if c.set.Site.Teams[i].Name == name {
+			return &c.set.Site.Teams[i]
+		}
+	}
+	return nil
+}
+
+func (c *Core) types() map[string]*wire.MachineType { return c.ledger.types }
--- /dev/null
+++ b/internal/core/fleet.go
@@ -0,0 +1,629 @@
+package core
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/config"
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// hold is a machine that is rented, as far as the leader knows.
+type hold struct {
+	name, typ, zone string
+	spot            bool
+	state           string
+	since           time.Duration // rented, by the list's word or ours
+	listed          bool
+	missing         int // lists in a row that lacked it after it was listed
+	leaving         string
+	deleting        bool
+}
+
+// hiring is a rental request under way.
+type hiring struct {
+	req   wire.Hire
+	tries int
+}
+
+// pool is a type, zone and kind: capacity is refused for one of these alone.
+type pool struct {
+	typ, zone string
+	spot      bool
+}
+
+// fleet rents, adopts and returns machines. Only the leader's acts.
+type fleet struct {
+	c         *Core
+	holds     map[string]*hold
+	hirings   map[string]*hiring
+	gone      map[string]bool // deleted, by the cloud's word
+	closed    map[pool]time.Duration
+	strikes   map[pool]int
+	counter   int
+	listing   bool
+	listAt    time.Duration
+	lists     int
+	asked     bool // for machine types
+	writing   bool
+	typesSeen *wire.MachineTypes
+	budget    float64
+	budgetAt  time.Duration
+	desired   float64
+}
+
+func newFleet(c *Core) *fleet {
+	f := &fleet{c: c}
+	f.start()
+	return f
+}
+
+// start begins a leader's work without any memory of an earlier one.
+func (f *fleet) start() {
+	f.holds = map[string]*hold{}
+	f.hirings = map[string]*hiring{}
+	f.gone = map[string]bool{}
+	f.closed = map[pool]time.Duration{}
+	f.strikes = map[pool]int{}
+	f.lists, f.listAt = 0, 0
+	f.desired = 0
+	f.typesSeen = nil
+}
+
+func (f *fleet) lag() time.Duration { return config.Seconds(f.c.set.Site.Cloud.ListLagS) }
+
+// spend takes one call from the cloud's budget.
+func (f *fleet) spend() bool {
+	rate := f.c.set.Site.Cloud.RPS * 3 / 5
+	f.budget = min(f.budget+(f.c.now.Steady-f.budgetAt).Seconds()*rate, rate)
+	f.budgetAt = f.c.now.Steady
+	if f.budget < 1 {
+		return false
+	}
+	f.budget--
+	return true
+}
+
+func (f *fleet) react() {
+	c := f.c
+	if !c.members.leading || !c.members.entitled() {
+		return
+	}
+	f.keepTypes()
+	if len(c.ledger.types) == 0 || c.orch.epoch == 0 {
+		return
+	}
+	if !f.listing && c.now.Steady >= f.listAt && f.spend() {
+		f.listing = true
+		c.emit(List{})
+	}
+}
+
+// keepTypes learns the machine types once and keeps them in the state service,
+// so that every node can judge submissions even while the cloud is out.
+func (f *fleet) keepTypes() {
+	c := f.c
+	if len(c.ledger.types) > 0 || f.writing {
+		return
+	}
+	if f.typesSeen == nil {
+		if !f.asked && f.spend() {
+			f.asked = true
+			c.emit(Types{})
+		}
+		return
+	}
+	f.writing = true
+	c.ledger.commit([]wire.Guard{c.members.leaderGuard()}, []wire.Op{{Put: keyTypes, Value: f.typesSeen}}, func(CommitDone) {
+		c.ledger.barrier(func(bool) { f.writing = false })
+	})
+}
+
+func (f *fleet) gotTypes(d TypesDone) {
+	if d.Status == 200 && len(d.Answer.Types) > 0 {
+		f.asked = false
+		f.typesSeen = &d.Answer
+		return
+	}
+	f.c.after(f.c.times.round, func() { f.asked = false })
+}
+
+func (f *fleet) wasDeleted(name string) bool { return f.gone[name] }
+
+func (f *fleet) leaving(name string) bool {
+	h := f.holds[name]
+	return f.gone[name] || h != nil && h.leaving != ""
+}
+
+func (f *fleet) listed(d ListDone) {
+	c := f.c
+	f.listing = false
+	f.listAt = c.now.Steady + max(f.lag()/2, 2*c.times.round)
+	if d.Status != 200 {
+		f.listAt = c.now.Steady + 2*c.times.round
+		return
+	}
+	if !c.members.leading {
+		return
+	}
+	f.lists++
+	seen := map[string]bool{}
+	for i := range d.Machines {
+		m := &d.Machines[i]
+		seen[m.Name] = true
+		if f.gone[m.Name] {
+			continue
+		}
+		h := f.holds[m.Name]
+		if h == nil {
+			h = f.adopt(m.Name, m.Type, m.Zone, m.Spot)
+			h.since = c.now.Steady - config.Seconds(m.AgeS) - f.lag()
+		}
+		h.listed, h.state, h.missing = true, m.State, 0
+	}
+	for _, name := range sortedKeys(f.holds) {
+		if h := f.holds[name]; !seen[name] && h.listed {
+			h.missing++
+		}
+	}
+}
+
+func (f *fleet) adopt(name, typ, zone string, spot bool) *hold {
+	h := &hold{name: name, typ: typ, zone: zone, spot: spot, since: f.c.now.Steady}
+	f.holds[name] = h
+	return h
+}
+
+// count reports whether a machine is or will be of use.
+func (f *fleet) counts(h *hold) bool {
+	if h.leaving != "" || h.state == wire.MachineFailed || h.missing >= 2 {
+		return false
+	}
+	if v := f.c.orch.rigs[h.name]; v != nil {
+		return !(v.state.Sure && !v.state.Up) && !v.state.Notice && !v.sick
+	}
+	return true
+}
+
+// want compares the work that is queued with the machines there are, after each
+// round; jobs are those with waiting tasks, in rank order.
+func (f *fleet) want(jobs []*queued) {
+	c := f.c
+	for _, name := range sortedKeys(c.orch.rigs) {
+		if v := c.orch.rigs[name]; f.holds[name] == nil && !f.gone[name] && v.state.Up {
+			h := f.adopt(name, v.state.Type, v.state.Zone, v.state.Spot)
+			h.state = wire.MachineRunning
+		}
+	}
+	any, ordinary := f.demand()
+	f.desired = any + ordinary
+	var have, haveOrdinary float64
+	for _, h := range f.holds {
+		if mt := c.types()[h.typ]; mt != nil && f.counts(h) {
+			have += mt.CPUs
+			if !h.spot {
+				haveOrdinary += mt.CPUs
+			}
+		}
+	}
+	for _, h := range f.hirings {
+		if mt := c.types()[h.req.Type]; mt != nil {
+			have += mt.CPUs * float64(h.req.Count)
+			if !h.req.Spot {
+				haveOrdinary += mt.CPUs * float64(h.req.Count)
+			}
+		}
+	}
+	f.hire(jobs, any+ordinary-have, ordinary-haveOrdinary)
+	f.giveBack(have, haveOrdinary, any, ordinary)
+	f.drop()
+}
+
+// demand is how many CPUs the unfinished work should have: so many that each
+// job's work is done within a share of the time that its class's aims leave it.
+func (f *fleet) demand() (any, ordinary float64) {
+	c := f.c
+	perTeam := map[string]float64{}
+	for _, id := range sortedKeys(c.orch.queue) {
+		q := c.orch.queue[id]
+		s := &q.j.rec.Spec
+		if q.j.final() || q.ending {
+			continue
+		}
+		waiting := float64(max(q.waiting(), 0))
+		flying := float64(len(q.flights))
+		pred := c.est.predict(s)
+		n := waiting + flying
+		if s.Kind == wire.KindArray {
+			if len(q.failedOn) >= 3 && q.j.doneN+len(q.finished) == 0 {
+				waiting = min(waiting, 1) // fails wherever it runs: worth no machines
+			}
+			work := waiting*pred + flying*pred/2
+			n = min(waiting+flying, math.Ceil(work/max(f.horizon(q, pred), 1)))
+		}
+		cpus := n * s.CPUs
+		if t := c.team(s.Team); t != nil && t.CPUsMax > 0 {
+			cpus = max(min(cpus, t.CPUsMax-perTeam[s.Team]), 0)
+		}
+		perTeam[s.Team] += cpus
+		if s.Spot {
+			any += cpus
+		} else {
+			ordinary += cpus
+		}
+	}
+	if most := c.policy.SpotShare; most < 1 {
+		ordinary += any * (1 - most)
+		any *= most
+	}
+	return any, ordinary
+}
+
+// horizon is the time in which a job's queued work should be done.
+func (f *fleet) horizon(q *queued, pred float64) float64 {
+	s := &q.j.rec.Spec
+	age := max(f.c.now.Wall-q.j.rec.At, 0)
+	h := math.Inf(1)
+	for _, a := range f.c.set.Site.Objectives {
+		if a.Class != s.Class {
+			continue
+		}
+		switch a.Kind {
+		case "finished":
+			h = min(h, max(a.WithinS*f.c.policy.HorizonShare, a.WithinS-age-pred))
+		case "deadline":
+			if s.DeadlineS > 0 {
+				h = min(h, (s.DeadlineS-age)*f.c.policy.HorizonShare)
+			}
+		case "wait":
+			h = min(h, pred)
+		}
+	}
+	if math.IsInf(h, 1) {
+		h = 4 * f.c.times.lease.Seconds()
+	}
+	return max(h, pred, f.c.times.lease.Seconds()/2)
+}
+
+// offer is a pool with what a unit of work costs there.
+type offer struct {
+	pool
+	mt   *wire.MachineType
+	cost float64
+}
+
+// offers lists the pools that could serve a job, cheapest first. A machine's
+// boot and first fetch are paid too, so they are spread over a usual stay.
+func (f *fleet) offers(s *wire.Job, ordinaryOnly bool) []offer {
+	c := f.c
+	stay := 6 * c.times.lease.Seconds()
+	inZone := map[string]int{}
+	for _, h := range f.holds {
+		if f.counts(h) {
+			inZone[h.zone]++
+		}
+	}
+	var out []offer
+	for _, name := range sortedKeys(c.types()) {
+		mt := c.types()[name]
+		if !allows(s, name) || !holds(mt, s) {
+			continue
+		}
+		slots := math.Inf(1)
+		for _, x := range [][2]float64{{mt.CPUs, s.CPUs}, {mt.GPUs, s.GPUs}, {mt.MemoryGB, s.MemoryGB}} {
+			if x[1] > 0 {
+				slots = min(slots, math.Floor(x[0]/x[1]+slack))
+			}
+		}
+		if math.IsInf(slots, 1) {
+			slots = 1
+		}
+		warm := 1 + (mt.BootS+s.ImageGB/max(mt.FetchGBps, 0.01))/stay
+		for _, z := range mt.Zones {
+			if s.Zone != "" && s.Zone != z {
+				continue
+			}
+			for _, spot := range []bool{true, false} {
+				if spot && (ordinaryOnly || !s.Spot || mt.SpotPrice <= 0) {
+					continue
+				}
+				price := mt.Price
+				if spot {
+					price = mt.SpotPrice
+				}
+				p := pool{name, z, spot}
+				if f.closed[p] > c.now.Steady {
+					continue
+				}
+				out = append(out, offer{pool: p, mt: mt, cost: price / slots * warm})
+			}
+		}
+	}
+	sort.SliceStable(out, func(a, b int) bool {
+		if out[a].cost != out[b].cost {
+			return out[a].cost < out[b].cost
+		}
+		return inZone[out[a].zone] < inZone[out[b].zone]
+	})
+	return out
+}
+
+// mayHire waits after a take-over until the list shows what the last leader
+// rented, or it would be rented twice.
+func (f *fleet) mayHire() bool {
+	c := f.c
+	return c.orch.epochAtStart == 0 || f.lists > 0 && c.now.Steady-c.members.ledSince > f.lag()*3/2
+}
+
+func (f *fleet) hire(jobs []*queued, lack, lackOrdinary float64) {
+	if len(jobs) == 0 || !f.mayHire() {
+		return
+	}
+	c := f.c
+	for _, q := range jobs {
+		s := &q.j.rec.Spec
+		short := lack
+		if !s.Spot {
+			short = max(lackOrdinary, 0)
+		}
+		if short < s.CPUs && !f.homeless(q) {
+			continue
+		}
+		for _, o := range f.offers(s, false) {
+			n := int(math.Ceil(short / o.mt.CPUs))
+			if short < o.mt.CPUs/2 && !f.homeless(q) {
+				break
+			}
+			n = min(max(n, 1), wire.MaxHire)
+			// Spread over the zones: none gets more than its share at once.
+			if n > 1 {
+				n = max(1, (n+len(o.mt.Zones)-1)/len(o.mt.Zones))
+			}
+			if f.pending(o.pool) || !f.spend() {
+				continue
+			}
+			f.counter++
+			req := wire.Hire{
+				Request: fmt.Sprintf("h-%s-%d-%d", c.boot, c.orch.epoch, f.counter),
+				Type:    o.typ, Zone: o.zone, Spot: o.spot, Count: n,
+			}
+			f.hirings[req.Request] = &hiring{req: req}
+			c.emit(Hire{Request: req})
+			c.debugf("hiring", "request", req.Request, "type", o.typ, "zone", o.zone, "spot", o.spot, "count", n, "lack", lack)
+			cpus := float64(n) * o.mt.CPUs
+			lack -= cpus
+			short -= cpus
+			if !o.spot {
+				lackOrdinary -= cpus
+			}
+			if short <= 0 {
+				break
+			}
+		}
+	}
+}
+
+// homeless reports whether a job has waiting tasks and no machine, up or on its
+// way, could ever take one.
+func (f *fleet) homeless(q *queued) bool {
+	s := &q.j.rec.Spec
+	ok := func(typ, zone string, spot bool) bool {
+		mt := f.c.types()[typ]
+		rec := q.j.rec
+		if (s.OneZone || s.Spread) && len(rec.Zones) > 0 && zone != rec.Zones[0] && zone != rec.Zones[len(rec.Zones)-1] {
+			return false
+		}
+		return mt != nil && holds(mt, s) && allows(s, typ) && (s.Zone == "" || s.Zone == zone) && (!spot || s.Spot)
+	}
+	for _, h := range f.holds {
+		if f.counts(h) && ok(h.typ, h.zone, h.spot) {
+			return false
+		}
+	}
+	for _, h := range f.hirings {
+		if ok(h.req.Type, h.req.Zone, h.req.Spot) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) pending(p pool) bool {
+	for _, h := range f.hirings {
+		if (pool{h.req.Type, h.req.Zone, h.req.Spot}) == p {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleet) hired(d HireDone) {
+	c := f.c
+	h := f.hirings[d.Request]
+	if h == nil {
+		return
+	}
+	p := pool{h.req.Type, h.req.Zone, h.req.Spot}
+	switch d.Status {
+	case 200:
+		delete(f.hirings, d.Request)
+		for _, n := range d.Names {
+			if f.holds[n] == nil && !f.gone[n] {
+				f.adopt(n, p.typ, p.zone, p.spot).state = wire.MachineBooting
+			}
+		}
+		if len(d.Names) > 0 {
+			c.info("hired", "machines", len(d.Names), "of", h.req.Count, "type", p.typ, "zone", p.zone, "spot", p.spot)
+			f.strikes[p] = 0
+		}
+		if len(d.Names) < h.req.Count {
+			f.close(p)
+		}
+	case 503:
+		delete(f.hirings, d.Request)
+		f.close(p)
+	case 400:
+		delete(f.hirings, d.Request)
+		c.emit(Log{Level: LevelError, Text: "the cloud calls a rental request malformed", Args: []any{"request", d.Request}})
+		f.close(p)
+	default:
+		// No answer, or too many calls: the same name may be sent again and
+		// rents nothing twice.
+		h.tries++
+		if h.tries > 5 {
+			delete(f.hirings, d.Request) // what it rented shows up in the list
+			return
+		}
+		c.after(c.times.round, func() {
+			if f.hirings[d.Request] == h {
+				c.emit(Hire{Request: h.req})
+			}
+		})
+	}
+}
+
+// close leaves a pool alone for a while after it refused.
+func (f *fleet) close(p pool) {
+	f.strikes[p]++
+	wait := 5 * f.c.times.round << min(f.strikes[p]-1, 3)
+	f.closed[p] = f.c.now.Steady + wait
+	f.c.debugf("capacity refused", "type", p.typ, "zone", p.zone, "spot", p.spot, "wait", wait)
+}
+
+// refused says which capacity a job waits for, if every pool has refused.
+func (f *fleet) refused(s *wire.Job) string {
+	if len(f.closed) == 0 || len(f.offers(s, false)) > 0 {
+		return ""
+	}
+	return "the cloud has no machine of the allowed types to give"
+}
+
+// giveBack returns machines that idle: dear ones first.
+func (f *fleet) giveBack(have, haveOrdinary, any, ordinary float64) {
+	c := f.c
+	var idle []*hold
+	for _, name := range sortedKeys(f.holds) {
+		h := f.holds[name]
+		v := c.orch.rigs[name]
+		mt := c.types()[h.typ]
+		if h.leaving != "" || v == nil || mt == nil || !v.state.Up || len(v.tasks) > 0 || v.upAt < 0 {
+			continue
+		}
+		keep := config.Seconds(mt.BootS * c.policy.IdleBoots)
+		if c.now.Steady-v.emptyAt < keep || c.now.Steady-h.since < 55*time.Second {
+			continue
+		}
+		idle = append(idle, h)
+	}
+	sort.SliceStable(idle, func(a, b int) bool { return !idle[a].spot && idle[b].spot })
+	for _, h := range idle {
+		cpus := c.types()[h.typ].CPUs
+		if have-cpus < any+ordinary || !h.spot && haveOrdinary-cpus < ordinary {
+			continue
+		}
+		have -= cpus
+		if !h.spot {
+			haveOrdinary -= cpus
+		}
+		f.retire(h, "idle")
+	}
+}
+
+// retire drains a machine and then returns it.
+func (f *fleet) retire(h *hold, why string) {
+	if h.leaving != "" {
+		return
+	}
+	h.leaving = why
+	f.c.info("returning machine", "machine", h.name, "type", h.typ, "zone", h.zone, "spot", h.spot, "why", why)
+}
+
+// drop gives up machines that never came up, failed, vanished or are faulty, and
+// deletes those that are empty.
+func (f *fleet) drop() {
+	c := f.c
+	var names []string
+	for _, name := range sortedKeys(f.holds) {
+		h := f.holds[name]
+		v := c.orch.rigs[name]
+		mt := c.types()[h.typ]
+		up := v != nil && v.state.Up
+		age := c.now.Steady - h.since
+		switch {
+		case h.leaving != "":
+		case h.state == wire.MachineFailed:
+			f.retire(h, "failed")
+		case h.missing >= 2 && !up && age > 4*f.lag():
+			f.retire(h, "taken back")
+		case v != nil && v.sick:
+			f.retire(h, "faulty")
+		case mt != nil && v == nil && age > config.Seconds(mt.BootS*c.policy.BootPatience) && age > time.Minute:
+			f.retire(h, "did not come up")
+		case v != nil && !up && v.state.Sure && c.now.Steady-v.emptyAt > 3*c.times.gone:
+			f.retire(h, "silent")
+		}
+		if h.leaving == "" || h.deleting {
+			continue
+		}
+		if up && !v.state.Draining {
+			if p := c.orch.parts[v.part]; p != nil {
+				p.outbox.Drain = append(p.outbox.Drain, name)
+				p.dirty = true
+			}
+			if age < time.Hour && !v.sick {
+				continue
+			}
+		}
+		if v != nil && len(v.tasks) > 0 && h.leaving != "faulty" && h.state != wire.MachineFailed {
+			continue
+		}
+		if len(names) < wire.MaxDelete {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 || !f.spend() {
+		return
+	}
+	for _, n := range names {
+		f.holds[n].deleting = true
+	}
+	c.emit(Delete{Names: names})
+}
+
+func (f *fleet) deleted(d DeleteDone) {
+	if d.Status != 200 {
+		for _, n := range d.Names {
+			if h := f.holds[n]; h != nil {
+				h.deleting = false
+			}
+		}
+		return
+	}
+	for _, n := range d.Names {
+		delete(f.holds, n)
+		f.gone[n] = true
+	}
+	f.unregister()
+}
+
+// unregister takes deleted machines out of the register.
+func (f *fleet) unregister() {
+	c := f.c
+	if !c.members.leading {
+		return
+	}
+	var ops []wire.Op
+	for _, n := range sortedKeys(f.gone) {
+		if c.ledger.machines[n] != nil && len(ops) < c.set.Site.State.TxnOps {
+			ops = append(ops, wire.Op{Delete: keyMachine + n})
+		}
+	}
+	if len(ops) == 0 {
+		return
+	}
+	c.ledger.commit([]wire.Guard{c.members.leaderGuard()}, ops, func(d CommitDone) {
+		c.after(c.times.round, func() { c.ledger.barrier(func(bool) { f.unregister() }) })
+	})
+}
--- /dev/null
+++ b/internal/core/ledger.go
@@ -0,0 +1,510 @@
+package core
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// Keys in the state service. All share one prefix, so one watch sees them all.
+const (
+	keyPrefix   = "c/"
+	keyEstimate = "c/est"
+	keyJob      = "c/job/"
+	keyLeader   = "c/leader"
+	keyMap      = "c/map"
+	keyNode     = "c/node/"
+	keyProgress = "c/prog/"
+	keyMachine  = "c/rig/"
+	keyTypes    = "c/types"
+)
+
+// KeyPrefix is what the state client watches.
+const KeyPrefix = keyPrefix
+
+// progressBlock is how many tasks one progress key covers: a full block is
+// under 3 KB of text, so it fits the smallest value limit with room to spare.
+const progressBlock = 16384
+
+// job is a job in the mirror.
+type job struct {
+	rec     wire.JobRecord
+	version uint64
+	done    []wire.TaskSet // by block
+	doneN   int
+	blocks  map[int]uint64 // versions of the progress keys
+	view    wire.JobView   // what the leader says
+}
+
+func (j *job) final() bool { return j.rec.State != wire.JobQueued }
+
+func (j *job) isDone(i int) bool {
+	b := i / progressBlock
+	return b < len(j.done) && j.done[b].Has(i%progressBlock)
+}
+
+// ledger mirrors the state service and takes submissions and cancellations.
+type ledger struct {
+	c        *Core
+	loading  bool
+	ready    bool // the mirror holds everything up to revision
+	revision uint64
+	freshAt  time.Duration // when the newest answered watch left
+	watching bool
+	lost     bool // the state service did not answer last time
+
+	versions map[string]uint64
+	jobs     map[string]*job
+	nodes    map[string]wire.NodeRecord
+	leader   *wire.LeaderRecord
+	mapRec   *wire.MapRecord
+	machines map[string]*wire.MachineRecord
+	types    map[string]*wire.MachineType
+	estimate *wire.EstimateRecord
+
+	barrierNow  []func(ok bool)
+	barrierNext []func(ok bool)
+
+	commits  map[uint64]func(CommitDone)
+	commitID uint64
+}
+
+func newLedger(c *Core) *ledger {
+	return &ledger{c: c, commits: map[uint64]func(CommitDone){}}
+}
+
+func (l *ledger) reset() {
+	l.versions = map[string]uint64{}
+	l.jobs = map[string]*job{}
+	l.nodes = map[string]wire.NodeRecord{}
+	l.leader, l.mapRec, l.estimate = nil, nil, nil
+	l.machines = map[string]*wire.MachineRecord{}
+	l.types = map[string]*wire.MachineType{}
+}
+
+// fresh reports whether the mirror is young enough to act on.
+func (l *ledger) fresh() bool {
+	return l.ready && l.c.now.Steady-l.freshAt < l.c.times.fresh
+}
+
+// step keeps the mirror loaded and a watch open.
+func (l *ledger) step() {
+	if !l.ready {
+		if !l.loading {
+			l.loading = true
+			l.c.emit(Load{})
+		}
+		return
+	}
+	if !l.watching {
+		l.watching = true
+		l.c.emit(Follow{Since: l.revision, Hold: l.c.times.fresh / 8})
+	}
+}
+
+func (l *ledger) loaded(d LoadDone) {
+	l.loading = false
+	if !d.OK {
+		l.loading = true
+		l.c.after(l.c.times.fresh/16, func() { l.c.emit(Load{}) })
+		return
+	}
+	l.reset()
+	for _, it := range d.Items {
+		l.put(it.Key, it.Value, it.Version)
+	}
+	l.ready, l.revision, l.freshAt = true, d.Revision, d.Sent
+	l.c.info("state loaded", "keys", len(d.Items), "revision", d.Revision)
+}
+
+func (l *ledger) followed(d FollowDone) {
+	if !d.Barrier {
+		l.watching = false
+	}
+	switch d.Status {
+	case 200:
+		if l.lost {
+			l.lost = false
+			l.c.info("state service is back")
+		}
+		for _, e := range d.Answer.Events {
+			// A watch and a barrier overlap: what an earlier answer brought is
+			// not taken again, or the mirror would step back.
+			if e.Version <= l.revision {
+				continue
+			}
+			if e.Put != "" {
+				l.put(e.Put, e.Value, e.Version)
+			} else {
+				l.remove(e.Delete)
+			}
+		}
+		l.revision = max(l.revision, d.Answer.Revision)
+		l.freshAt = max(l.freshAt, d.Sent)
+	case 410:
+		l.ready = false // too far behind: read everything again
+	default:
+		if !l.lost {
+			l.lost = true
+			l.c.info("state service does not answer", "status", d.Status)
+		}
+		if !d.Barrier {
+			l.watching = true
+			l.c.after(l.c.times.fresh/16, func() { l.watching = false; l.step() })
+		}
+	}
+	if d.Barrier {
+		done := l.barrierNow
+		l.barrierNow = nil
+		for _, f := range done {
+			f(d.Status == 200)
+		}
+		l.startBarrier()
+	}
+}
+
+// barrier calls f once the mirror holds everything that any node can have said
+// before now. Queries that come while one is under way share the next.
+func (l *ledger) barrier(f func(ok bool)) {
+	if !l.ready {
+		f(false)
+		return
+	}
+	l.barrierNext = append(l.barrierNext, f)
+	if l.barrierNow == nil {
+		l.startBarrier()
+	}
+}
+
+func (l *ledger) startBarrier() {
+	if len(l.barrierNext) == 0 {
+		return
+	}
+	l.barrierNow, l.barrierNext = l.barrierNext, nil
+	l.c.emit(Follow{Since: l.revision, Barrier: true})
+}
+
+// commit runs a transaction; f gets the outcome.
+func (l *ledger) commit(guards []wire.Guard, ops []wire.Op, f func(CommitDone)) {
+	l.commitID++
+	l.commits[l.commitID] = f
+	l.c.emit(Commit{ID: l.commitID, Txn: wire.Txn{If: guards, Then: ops}})
+}
+
+func (l *ledger) committed(d CommitDone) {
+	f := l.commits[d.ID]
+	delete(l.commits, d.ID)
+	if f != nil {
+		f(d)
+	}
+}
+
+func (l *ledger) guard(key string) wire.Guard { return wire.Guard{Key: key, Version: l.versions[key]} }
+
+func (l *ledger) put(key string, value wire.Raw, version uint64) {
+	if l.versions[key] > version {
+		return
+	}
+	var err error
+	switch {
+	case strings.HasPrefix(key, keyJob):
+		var rec wire.JobRecord
+		if err = wire.Decode(value, &rec); err == nil {
+			j := l.job(key[len(keyJob):])
+			over := !j.final() && rec.State != wire.JobQueued
+			j.rec, j.version = rec, version
+			if j.final() {
+				if rec.State == wire.JobDone {
+					j.doneN = rec.Spec.Tasks
+				}
+				j.done = nil
+			}
+			l.c.orch.jobChanged(j)
+			if over {
+				l.c.part.jobOver(j)
+			}
+		}
+	case strings.HasPrefix(key, keyProgress):
+		err = l.putProgress(key[len(keyProgress):], value, version)
+	case strings.HasPrefix(key, keyNode):
+		var rec wire.NodeRecord
+		if err = wire.Decode(value, &rec); err == nil {
+			l.nodes[key[len(keyNode):]] = rec
+		}
+	case strings.HasPrefix(key, keyMachine):
+		rec := &wire.MachineRecord{}
+		if err = wire.Decode(value, rec); err == nil {
+			l.machines[key[len(keyMachine):]] = rec
+			l.c.part.machineKnown(key[len(keyMachine):], rec)
+		}
+	case key == keyLeader:
+		rec := &wire.LeaderRecord{}
+		if err = wire.Decode(value, rec); err == nil {
+			l.leader = rec
+		}
+	case key == keyMap:
+		rec := &wire.MapRecord{}
+		if err = wire.Decode(value, rec); err == nil {
+			l.mapRec = rec
+		}
+	case key == keyTypes:
+		var rec wire.MachineTypes
+		if err = wire.Decode(value, &rec); err == nil {
+			for i := range rec.Types {
+				l.types[rec.Types[i].Name] = &rec.Types[i]
+			}
+		}
+	case key == keyEstimate:
+		rec := &wire.EstimateRecord{}
+		if err = wire.Decode(value, rec); err == nil {
+			l.estimate = rec
+		}
+	}
+	if err != nil {
+		l.c.emit(Log{Level: LevelError, Text: "cannot read a key of the state service", Args: []any{"key", key, "error", err}})
+	}
+	l.versions[key] = version
+}
+
+func (l *ledger) putProgress(name string, value wire.Raw, version uint64) error {
+	id, num, _ := strings.Cut(name, "/")
+	block, err := strconv.Atoi(num)
+	if err != nil || block < 0 || block > wire.MaxTasks/progressBlock {
+		return fmt.Errorf("progress key %q", name)
+	}
+	var rec wire.ProgressRecord
+	if err := wire.Decode(value, &rec); err != nil {
+		return err
+	}
+	set, err := wire.ParseTaskSet(rec.Bits)
+	if err != nil {
+		return err
+	}
+	j := l.job(id)
+	j.blocks[block] = version
+	if j.final() {
+		return nil
+	}
+	for block >= len(j.done) {
+		j.done = append(j.done, nil)
+	}
+	j.doneN += set.Len() - j.done[block].Len()
+	j.done[block] = set
+	return nil
+}
+
+func (l *ledger) job(id string) *job {
+	j := l.jobs[id]
+	if j == nil {
+		j = &job{blocks: map[int]uint64{}}
+		j.rec.State = wire.JobQueued
+		l.jobs[id] = j
+	}
+	return j
+}
+
+func (l *ledger) remove(key string) {
+	delete(l.versions, key)
+	switch {
+	case strings.HasPrefix(key, keyNode):
+		delete(l.nodes, key[len(keyNode):])
+	case strings.HasPrefix(key, keyMachine):
+		delete(l.machines, key[len(keyMachine):])
+	case strings.HasPrefix(key, keyProgress):
+		id, num, _ := strings.Cut(key[len(keyProgress):], "/")
+		if b, err := strconv.Atoi(num); err == nil && l.jobs[id] != nil {
+			delete(l.jobs[id].blocks, b)
+		}
+	case key == keyLeader:
+		l.leader = nil
+	}
+}
+
+// accepted returns the job if the state service holds it.
+func (l *ledger) accepted(id string) *job {
+	if j := l.jobs[id]; j != nil && j.version > 0 {
+		return j
+	}
+	return nil
+}
+
+// later answers that the request must be repeated, at once and with a time.
+func (l *ledger) later(id RequestID, why string) {
+	l.c.emit(Reply{ID: id, Status: 503, Body: wire.ErrorAnswer{Error: why}, RetryAfter: time.Second})
+}
+
+func (l *ledger) answer(id RequestID, status int, j *job) {
+	a := wire.JobAnswer{ID: j.rec.Spec.ID, State: j.rec.State, Done: j.doneN, Reason: j.rec.Bad}
+	if !j.final() {
+		a.Running = j.view.Running
+		a.Reason = j.view.Reason
+		if a.Running > 0 {
+			a.State = wire.JobRunning
+		}
+		if a.Reason == "" && a.Running == 0 {
+			a.Reason = "waits for the scheduler's next round"
+		}
+	}
+	l.c.emit(Reply{ID: id, Status: status, Body: a})
+}
+
+// known answers for a job once nothing newer can have been said elsewhere.
+func (l *ledger) known(id RequestID, ref string) {
+	if j := l.accepted(ref); j != nil && j.final() {
+		l.answer(id, 200, j) // a final state never changes
+		return
+	}
+	l.barrier(func(ok bool) {
+		j := l.accepted(ref)
+		switch {
+		case !ok:
+			l.later(id, "the state service does not answer")
+		case j == nil:
+			l.c.emit(Reply{ID: id, Status: 404, Body: wire.ErrorAnswer{Error: "no such job"}})
+		default:
+			l.answer(id, 200, j)
+		}
+	})
+}
+
+func (l *ledger) query(id RequestID, ref string) {
+	if !wire.ValidJobID(ref) {
+		l.c.emit(Reply{ID: id, Status: 404, Body: wire.ErrorAnswer{Error: "no such job"}})
+		return
+	}
+	l.known(id, ref)
+}
+
+func (l *ledger) submit(id RequestID, spec wire.Job) {
+	if l.accepted(spec.ID) != nil {
+		l.known(id, spec.ID)
+		return
+	}
+	if !l.fresh() || len(l.types) == 0 {
+		l.later(id, "this node cannot decide yet")
+		return
+	}
+	if why := l.impossible(&spec); why != "" {
+		l.c.emit(Reply{ID: id, Status: 422, Body: wire.ErrorAnswer{Error: why}})
+		return
+	}
+	key := keyJob + spec.ID
+	rec := wire.JobRecord{Spec: spec, State: wire.JobQueued, At: l.c.now.Wall}
+	l.commit([]wire.Guard{{Key: key}}, []wire.Op{{Put: key, Value: rec}}, func(d CommitDone) {
+		switch d.Status {
+		case 200:
+			l.c.emit(Reply{ID: id, Status: 201, Body: wire.JobAnswer{ID: spec.ID, State: wire.JobQueued}})
+		case 409:
+			l.known(id, spec.ID) // another node was first, or an earlier try of ours
+		case 0:
+			// The transaction may have been applied, or may be later. If it has
+			// been, say so; if not, 503 promises nothing either way.
+			l.barrier(func(ok bool) {
+				if j := l.accepted(spec.ID); ok && j != nil {
+					l.answer(id, 200, j)
+				} else {
+					l.later(id, "the state service does not answer")
+				}
+			})
+		default:
+			l.later(id, "the state service is busy")
+		}
+	})
+}
+
+// impossible says why a job can never run, if so.
+func (l *ledger) impossible(j *wire.Job) string {
+	team := l.c.team(j.Team)
+	if team == nil {
+		return "unknown team " + j.Team
+	}
+	fits := false
+	for _, t := range l.types {
+		if allows(j, t.Name) && holds(t, j) && zoneFits(j, t) {
+			fits = true
+			break
+		}
+	}
+	if !fits {
+		return "a task fits no allowed machine type"
+	}
+	n := 1.0
+	if j.Kind != wire.KindArray {
+		n = float64(j.Tasks)
+	}
+	if team.CPUsMax > 0 && n*j.CPUs > team.CPUsMax+slack || team.GPUsMax > 0 && n*j.GPUs > team.GPUsMax+slack {
+		return "the job needs more than the limit of team " + j.Team
+	}
+	return ""
+}
+
+func zoneFits(j *wire.Job, t *wire.MachineType) bool {
+	if j.Zone == "" {
+		return len(t.Zones) > 0
+	}
+	for _, z := range t.Zones {
+		if z == j.Zone {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *ledger) abort(id RequestID, ref string, tries int) {
+	if !wire.ValidJobID(ref) {
+		l.c.emit(Reply{ID: id, Status: 404, Body: wire.ErrorAnswer{Error: "no such job"}})
+		return
+	}
+	l.barrier(func(ok bool) {
+		j := l.accepted(ref)
+		switch {
+		case !ok:
+			l.later(id, "the state service does not answer")
+			return
+		case j == nil:
+			l.c.emit(Reply{ID: id, Status: 404, Body: wire.ErrorAnswer{Error: "no such job"}})
+			return
+		case j.final():
+			l.answer(id, 200, j)
+			return
+		}
+		rec := finalRecord(j, wire.JobCancelled, "cancelled by its user")
+		guards := []wire.Guard{{Key: keyJob + ref, Version: j.version}}
+		l.commit(guards, finalOps(j, rec), func(d CommitDone) {
+			switch {
+			case d.Status == 200:
+				l.c.emit(Reply{ID: id, Status: 200, Body: wire.JobAnswer{ID: ref, State: wire.JobCancelled, Done: j.doneN}})
+			case (d.Status == 409 || d.Status == 0) && tries < 3:
+				l.abort(id, ref, tries+1) // done came first, or the outcome is open: look again
+			default:
+				l.later(id, "the state service does not answer")
+			}
+		})
+	})
+}
+
+// finalRecord is what is kept of a job that is over.
+func finalRecord(j *job, state, why string) wire.JobRecord {
+	s := j.rec.Spec
+	return wire.JobRecord{
+		Spec: wire.Job{ID: s.ID, Class: s.Class, Team: s.Team, Kind: s.Kind, Urgency: s.Urgency, Tasks: s.Tasks,
+			CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB},
+		State: state, At: j.rec.At, Bad: why,
+	}
+}
+
+// finalOps writes a job's final state and drops its progress.
+func finalOps(j *job, rec wire.JobRecord) []wire.Op {
+	ops := []wire.Op{{Put: keyJob + rec.Spec.ID, Value: rec}}
+	for b := 0; b <= wire.MaxTasks/progressBlock; b++ {
+		if j.blocks[b] > 0 {
+			ops = append(ops, wire.Op{Delete: progressKey(rec.Spec.ID, b)})
+		}
+	}
+	return ops
+}
+
+func progressKey(id string, block int) string { return keyProgress + id + "/" + strconv.Itoa(block) }
--- /dev/null
+++ b/internal/core/membership.go
@@ -0,0 +1,227 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// membership keeps this node's lease and key, and, on the leader, the map.
+type membership struct {
+	c *Core
+
+	lease     uint64
+	leaseSent time.Duration // when the newest answered renewal left
+	asking    bool
+	writing   bool // a write of the node key or the leader key is under way
+	mapping   bool // a write of the map is under way
+	readySaid bool
+	readyNow  bool
+	target    string
+
+	ledSince time.Duration // since when the leader key is ours
+	leading  bool
+}
+
+func newMembership(c *Core) *membership { return &membership{c: c, target: "\x00"} }
+
+// entitled reports whether this node may answer workers and users act on it:
+// its lease was renewed and its mirror confirmed within fresh.
+//
+// Guards against two owners of a machine: a node that is cut off must fall
+// silent before the others count its lease as over.
+func (m *membership) entitled() bool {
+	return m.lease != 0 && m.c.now.Steady-m.leaseSent < m.c.times.fresh && m.c.ledger.fresh()
+}
+
+// member reports whether the map in force names this very process.
+func (m *membership) member() bool {
+	rec := m.c.ledger.mapRec
+	return rec != nil && rec.Members[m.c.set.Label] == m.c.boot
+}
+
+func (m *membership) epoch() uint64 {
+	if rec := m.c.ledger.mapRec; rec != nil {
+		return rec.Epoch
+	}
+	return 0
+}
+
+// owner is the member that rendezvous hashing gives a machine to.
+func (m *membership) owner(machine string) string {
+	rec := m.c.ledger.mapRec
+	if rec == nil {
+		return ""
+	}
+	best, bestHash := "", uint64(0)
+	for label := range rec.Members {
+		h := xxhash.Sum64String(label + " " + machine)
+		if best == "" || h > bestHash || h == bestHash && label < best {
+			best, bestHash = label, h
+		}
+	}
+	return best
+}
+
+// leaderGuard ties a write to our leadership.
+func (m *membership) leaderGuard() wire.Guard { return m.c.ledger.guard(keyLeader) }
+
+func (m *membership) react() {
+	c := m.c
+	c.ledger.step()
+	if !m.asking && (m.lease == 0 || c.now.Steady-m.leaseSent >= c.times.ttl/6) {
+		m.asking = true
+		c.emit(Lease{Lease: m.lease, TTL: c.times.ttl})
+	}
+	ready := m.entitled() && len(c.ledger.types) > 0
+	if ready != m.readyNow || !m.readySaid {
+		m.readyNow, m.readySaid = ready, true
+		c.emit(Ready{Yes: ready})
+	}
+	if !c.ledger.ready {
+		return
+	}
+	target := ""
+	if l := c.ledger.leader; l != nil && l.Boot != c.boot {
+		target = l.Label
+	}
+	if target != m.target {
+		m.target = target
+		c.emit(PeerTarget{Label: target})
+	}
+	was := m.leading
+	m.leading = c.ledger.leader != nil && c.ledger.leader.Boot == c.boot
+	if m.leading != was {
+		if m.leading {
+			m.ledSince = c.now.Steady
+			c.info("this node leads", "revision", c.ledger.versions[keyLeader])
+		} else {
+			c.info("this node no longer leads")
+		}
+		c.orch.leadership(m.leading)
+	}
+	if m.lease == 0 || m.writing || !c.ledger.fresh() {
+		return
+	}
+	if c.ledger.nodes[c.set.Label].Boot != c.boot {
+		key := keyNode + c.set.Label
+		m.write(nil, wire.Op{Put: key, Value: wire.NodeRecord{Boot: c.boot}, Lease: m.lease})
+		return
+	}
+	// A leader that was restarted takes its own key over at once: its former
+	// process is surely dead, and whatever that one still has in flight is
+	// guarded by the version this write ends.
+	if l := c.ledger.leader; l == nil || l.Label == c.set.Label && l.Boot != c.boot {
+		op := wire.Op{Put: keyLeader, Value: wire.LeaderRecord{Label: c.set.Label, Boot: c.boot}, Lease: m.lease}
+		m.write([]wire.Guard{c.ledger.guard(keyLeader)}, op)
+		return
+	}
+	if m.leading {
+		m.keepMap()
+	}
+}
+
+func (m *membership) write(guards []wire.Guard, op wire.Op) {
+	m.writing = true
+	m.c.ledger.commit(guards, []wire.Op{op}, func(d CommitDone) {
+		done := func(bool) { m.writing = false }
+		switch d.Status {
+		case 200, 409:
+			m.c.ledger.barrier(done) // look before writing again
+		case 400:
+			m.lease, m.writing = 0, false // the lease has ended
+		default:
+			m.c.after(m.c.times.fresh/16, func() { m.c.ledger.barrier(done) })
+		}
+	})
+}
+
+// keepMap writes a new map when the members are not who they should be: those
+// with a live key that this leader can hear.
+func (m *membership) keepMap() {
+	c := m.c
+	if m.mapping {
+		return
+	}
+	rec := c.ledger.mapRec
+	want := map[string]string{}
+	settled := c.now.Steady-m.ledSince > c.times.report
+	missing := false
+	for label, n := range c.ledger.nodes {
+		switch {
+		case label == c.set.Label:
+			if !c.part.unfit || len(c.ledger.nodes) == 1 {
+				want[label] = n.Boot
+			}
+		case c.orch.hears(label, n.Boot):
+			want[label] = n.Boot
+		default:
+			missing = true
+		}
+	}
+	if len(want) == 0 {
+		want[c.set.Label] = c.boot
+	}
+	// A new leader gives the others a moment to call, so that a change of
+	// leader is one new map and not several.
+	if !settled && (missing || rec == nil && len(want) < c.set.Site.InitialSize) {
+		return
+	}
+	if m.epoch() > c.orch.epochAtStart && sameMembers(rec.Members, want) {
+		return
+	}
+	next := wire.MapRecord{Epoch: 1, Leader: c.set.Label, Members: want}
+	if rec != nil {
+		next.Epoch = rec.Epoch + 1
+	}
+	m.mapping = true
+	guards := []wire.Guard{m.leaderGuard(), c.ledger.guard(keyMap)}
+	c.ledger.commit(guards, []wire.Op{{Put: keyMap, Value: next}}, func(d CommitDone) {
+		wait := time.Duration(0)
+		if d.Status != 200 {
+			wait = c.times.fresh / 16
+		}
+		c.after(wait, func() { c.ledger.barrier(func(bool) { m.mapping = false }) })
+	})
+}
+
+func sameMembers(a, b map[string]string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for k, v := range a {
+		if b[k] != v {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *membership) leased(d LeaseDone) {
+	m.asking = false
+	switch d.Status {
+	case 200:
+		if d.Lease != m.lease {
+			m.lease = d.Lease
+		}
+		m.leaseSent = max(m.leaseSent, d.Sent)
+	case 404:
+		m.c.info("the lease has ended")
+		m.lease = 0
+	default:
+		m.asking = true
+		m.c.after(m.c.times.ttl/12, func() { m.asking = false })
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
--- /dev/null
+++ b/internal/core/part.go
@@ -0,0 +1,712 @@
+package core
+
+import (
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// Bits of a token and of an attempt below the epoch.
+const (
+	tokenBits   = 20
+	attemptBits = 28
+)
+
+// phase is how sure the part is that a start has reached its machine.
+type phase int
+
+const (
+	phaseQueued   phase = iota // not sent yet
+	phaseAnswered              // sent in the response to a report
+	phaseDirect                // sent by /do, outcome open
+	phaseListed                // the machine lists it
+)
+
+// placed is one attempt of a task on a machine, or on its way there.
+type placed struct {
+	task    string
+	ref     string
+	index   int
+	attempt uint64
+	phase   phase
+	doID    uint64 // of the /do that carried the start
+	token   uint64 // that the start was sent with
+	state   string
+	why     string
+	since   time.Duration // when it was seen running
+	ranS    float64
+	stop    bool // asked to stop, with time to save
+	spec    *wire.Job
+	stamp   uint64 // of the list it was last seen in
+}
+
+// live reports whether the attempt takes room.
+func (p *placed) live() bool { return p.state != wire.TaskExited }
+
+// rig is a machine that this member owns.
+type rig struct {
+	name, addr, typ, zone string
+	spot                  bool
+	mt                    *wire.MachineType
+
+	session, seq uint64 // newest message seen
+	token        uint64 // ours for this machine
+	trusted      bool   // the newest message carried our token
+	answered     time.Duration
+	heard        time.Duration
+	lapsed       bool // silent for so long that its worker has dropped everything
+	notice       bool
+	draining     bool
+	asking       uint64 // the /do under way
+	askAgain     time.Duration
+	urgent       bool // send commands without waiting for the next report
+	registered   bool
+	tasks        []*placed
+	images       []string
+	avoid        map[string]time.Duration // jobs whose tasks failed here
+	dirty        bool
+	stamp        uint64
+}
+
+// part owns the machines that the map gives this member.
+type part struct {
+	c        *Core
+	epoch    uint64
+	mine     bool // a member in this epoch
+	rigs     map[string]*rig
+	assigned []*placed // dispatched, no room found yet
+	returned []wire.TaskTry
+	link     uint64 // to the leader, 0: none
+	linkName string
+	full     bool // the leader needs the whole picture
+	lastSent time.Duration
+	lastRead time.Duration
+	doID     uint64
+	unfit    bool
+}
+
+const selfLink = ^uint64(0)
+
+func newPart(c *Core) *part { return &part{c: c, rigs: map[string]*rig{}} }
+
+// react follows the map, drops what can't be there any more, places and sends.
+func (p *part) react() {
+	c := p.c
+	if !c.ledger.ready {
+		return
+	}
+	if e := c.members.epoch(); e != p.epoch {
+		p.newEpoch(e)
+	}
+	if c.members.leading && p.link != selfLink {
+		p.link, p.full = selfLink, true
+		c.orch.linkUp(selfLink)
+	} else if !c.members.leading && p.link == selfLink {
+		p.link = 0
+	}
+	if !p.mine {
+		p.flush()
+		return
+	}
+	if p.c.members.entitled() {
+		for _, name := range sortedKeys(p.rigs) {
+			p.tend(p.rigs[name])
+		}
+		p.place()
+		for _, name := range sortedKeys(p.rigs) {
+			if r := p.rigs[name]; r.urgent && r.asking == 0 && r.trusted {
+				p.command(r)
+			}
+		}
+	}
+	p.flush()
+}
+
+// newEpoch drops everything that was dispatched but not sent, and fences every
+// machine that is ours now: until it answers with the new token, what it lists
+// is only a hint.
+//
+// Guards against a start by the former owner that arrives after we have looked.
+func (p *part) newEpoch(e uint64) {
+	c := p.c
+	stayed := p.mine && e == p.epoch+1
+	p.epoch, p.mine = e, c.members.member()
+	p.assigned, p.returned, p.full = nil, nil, true
+	for name, rec := range c.ledger.machines {
+		p.machineKnown(name, rec)
+	}
+	for _, name := range sortedKeys(p.rigs) {
+		r := p.rigs[name]
+		if !p.mine || c.members.owner(name) != c.set.Label {
+			delete(p.rigs, name)
+			continue
+		}
+		r.token = e << tokenBits
+		r.trusted = false
+		r.asking, r.askAgain = 0, 0
+		r.draining = false
+		kept := r.tasks[:0]
+		for _, t := range r.tasks {
+			if t.phase != phaseQueued {
+				kept = append(kept, t)
+			}
+		}
+		r.tasks = kept
+		if !(stayed && r.lapsed) {
+			// Whoever owned it before may have answered it until its mirror was
+			// too old to.
+			r.answered = max(r.answered, c.now.Steady+c.times.fresh)
+			r.lapsed = false
+		}
+		r.dirty = true
+	}
+	if c.ledger.mapRec != nil {
+		c.info("new map", "epoch", e, "leader", c.ledger.mapRec.Leader, "members", sortedKeys(c.ledger.mapRec.Members), "machines", len(p.rigs))
+	}
+}
+
+// machineKnown takes a machine of the register.
+func (p *part) machineKnown(name string, rec *wire.MachineRecord) {
+	if r := p.rigs[name]; r != nil {
+		r.registered = true
+		return
+	}
+	if !p.mine || p.c.members.owner(name) != p.c.set.Label {
+		return
+	}
+	r := p.newRig(name)
+	r.addr, r.typ, r.zone, r.spot = rec.Addr, rec.Type, rec.Zone, rec.Spot
+	r.answered += p.c.times.fresh
+	r.registered = true
+}
+
+func (p *part) newRig(name string) *rig {
+	r := &rig{
+		name: name, token: p.epoch << tokenBits, answered: p.c.now.Steady, heard: p.c.now.Steady,
+		avoid: map[string]time.Duration{}, dirty: true,
+	}
+	p.rigs[name] = r
+	return r
+}
+
+// tend looks after a machine's clock: fencing, silence, machines that are gone.
+func (p *part) tend(r *rig) {
+	c := p.c
+	if r.registered && c.ledger.machines[r.name] == nil {
+		delete(p.rigs, r.name) // deleted: it and its tasks are gone
+		p.full = true
+		return
+	}
+	if !r.registered && c.now.Steady-r.heard > 4*c.times.gone {
+		delete(p.rigs, r.name)
+		p.full = true
+		return
+	}
+	if r.mt == nil {
+		r.mt = c.types()[r.typ]
+	}
+	if !r.lapsed && c.now.Steady-r.answered > c.times.gone {
+		// Nobody entitled has answered this worker for longer than its lease,
+		// so it has dropped its tasks, and a start still under way carries an
+		// earlier session.
+		r.lapsed, r.trusted = true, false
+		if len(r.tasks) > 0 {
+			c.info("machine is silent, its tasks are lost", "machine", r.name, "tasks", len(r.tasks))
+		}
+		r.tasks = nil
+		r.dirty = true
+	}
+	if !r.trusted && r.asking == 0 && c.now.Steady >= r.askAgain && r.addr != "" && !r.lapsed {
+		p.do(r, nil)
+	}
+}
+
+// do sends commands straight to a worker; without commands it only fences.
+func (p *part) do(r *rig, cmds []wire.Command) {
+	p.doID++
+	r.asking = p.doID
+	r.urgent = false
+	p.c.emit(Do{Machine: r.name, ID: p.doID, Addr: r.addr, Body: wire.Do{Token: r.token, Session: max(r.session, 1), Commands: cmds}})
+}
+
+func (p *part) didDo(d *DoDone) {
+	r := p.rigs[d.Machine]
+	if r == nil || r.asking != d.ID {
+		return
+	}
+	c := p.c
+	r.asking = 0
+	switch d.Status {
+	case 200:
+		r.heard = c.now.Steady
+		p.read(r, &d.Report, d.ID, false)
+	case 409:
+		// Nothing was executed. A higher token than ours means that a newer map
+		// is on its way to us.
+		r.heard = c.now.Steady
+		again := d.Report.Session != r.session && d.Report.Token <= r.token
+		p.dropDirect(r, d.ID)
+		p.read(r, &d.Report, d.ID, false)
+		if again {
+			r.askAgain = 0
+		} else {
+			r.askAgain = c.now.Steady + c.times.report
+		}
+	default:
+		// A start without an answer may be executed at any time while token and
+		// session match: it stays pinned here until the machine has shown a
+		// raised token.
+		for _, t := range r.tasks {
+			if t.phase == phaseDirect && t.doID == d.ID {
+				p.raise(r)
+				break
+			}
+		}
+		r.askAgain = c.now.Steady + c.times.report
+	}
+}
+
+func (p *part) raise(r *rig) {
+	r.token++
+	r.trusted = false
+	r.dirty = true
+}
+
+// dropDirect forgets starts that a refused /do carried.
+func (p *part) dropDirect(r *rig, id uint64) {
+	kept := r.tasks[:0]
+	for _, t := range r.tasks {
+		if t.phase == phaseDirect && t.doID == id {
+			p.returned = append(p.returned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
+			continue
+		}
+		kept = append(kept, t)
+	}
+	if len(kept) != len(r.tasks) {
+		r.dirty = true
+	}
+	r.tasks = kept
+}
+
+// report takes a worker's report and answers it.
+func (p *part) report(id RequestID, rep *wire.Report) {
+	c := p.c
+	if c.ledger.ready {
+		if e := c.members.epoch(); e != p.epoch {
+			p.newEpoch(e)
+		}
+	}
+	if !c.members.entitled() || c.ledger.mapRec == nil {
+		c.emit(Reply{ID: id, Status: 503, Body: wire.ErrorAnswer{Error: "not entitled"}})
+		return
+	}
+	if owner := c.members.owner(rep.Machine); owner != c.set.Label || !p.mine {
+		c.emit(Reply{ID: id, Status: 421, Body: wire.Redirect{ReportTo: owner}})
+		return
+	}
+	r := p.rigs[rep.Machine]
+	if r == nil {
+		r = p.newRig(rep.Machine)
+		r.addr, r.typ, r.zone, r.spot = rep.Addr, rep.Type, rep.Zone, rep.Spot
+		r.mt = c.types()[r.typ]
+		r.registered = c.ledger.machines[r.name] != nil
+	}
+	if rep.Token > r.token {
+		// Somebody has a newer map than we do.
+		c.emit(Reply{ID: id, Status: 503, Body: wire.ErrorAnswer{Error: "not entitled"}})
+		return
+	}
+	newest := rep.Newer(r.session, r.seq)
+	r.heard, r.answered = c.now.Steady, max(r.answered, c.now.Steady)
+	if newest {
+		p.read(r, rep, 0, true)
+	}
+	ans := wire.ReportAnswer{Token: r.token}
+	if newest && r.trusted {
+		p.place()
+		ans.Commands = p.commands(r, 0)
+	}
+	c.emit(Reply{ID: id, Status: 200, Body: ans})
+}
+
+// read takes what a machine says of itself. Only a message with our own current
+// token is believed: one with an older token may miss a start that a former
+// owner's command has yet to cause.
+func (p *part) read(r *rig, rep *wire.Report, doID uint64, viaReport bool) {
+	c := p.c
+	if !rep.Newer(r.session, r.seq) {
+		return
+	}
+	if rep.Session > r.session {
+		// The worker's lease ran out: everything from before is gone, and
+		// starts still under way carry the earlier session.
+		kept := r.tasks[:0]
+		for _, t := range r.tasks {
+			if t.phase == phaseQueued {
+				kept = append(kept, t)
+			}
+		}
+		r.tasks = kept
+		r.dirty = true
+	}
+	r.session, r.seq = rep.Session, rep.Seq
+	if n := rep.NoticeS != nil; n != r.notice {
+		r.notice, r.dirty = n, true
+		if n {
+			c.info("machine will be taken back", "machine", r.name, "seconds", *rep.NoticeS)
+		}
+	}
+	was := r.trusted
+	r.trusted = rep.Token == r.token
+	if r.trusted != was {
+		r.dirty = true
+	}
+	if !r.trusted {
+		return
+	}
+	r.lapsed = false
+	r.stamp++
+	for i := range rep.Tasks {
+		p.seen(r, &rep.Tasks[i])
+	}
+	kept := r.tasks[:0]
+	for _, t := range r.tasks {
+		keep := t.stamp == r.stamp
+		switch {
+		case keep:
+		case t.phase == phaseQueued:
+			keep = true
+		case t.phase == phaseAnswered:
+			// Executed before this report was made, or never; a message made
+			// for a /do may be older than the response that carried it.
+			keep = !viaReport && t.token == r.token
+		case t.phase == phaseDirect:
+			keep = t.token == r.token && t.doID != doID
+		}
+		if keep {
+			kept = append(kept, t)
+		} else {
+			r.dirty = true
+		}
+	}
+	r.tasks = kept
+}
+
+// seen takes one line of a trusted list.
+func (p *part) seen(r *rig, tr *wire.TaskReport) {
+	var t *placed
+	for _, x := range r.tasks {
+		if x.task == tr.Task && x.attempt == tr.Attempt {
+			t = x
+			break
+		}
+	}
+	if t == nil {
+		ref, index, err := wire.ParseTask(tr.Task)
+		if err != nil {
+			p.c.emit(Log{Level: LevelError, Text: "worker lists a task with a strange name", Args: []any{"machine", r.name, "task", tr.Task}})
+			return
+		}
+		t = &placed{task: tr.Task, ref: ref, index: index, attempt: tr.Attempt}
+		if j := p.c.ledger.accepted(ref); j != nil {
+			t.spec = &j.rec.Spec
+		}
+		r.tasks = append(r.tasks, t)
+		r.dirty = true
+	}
+	t.phase, t.stamp = phaseListed, r.stamp
+	if t.state == tr.State && t.why == tr.Why {
+		return
+	}
+	r.dirty = true
+	if tr.State == wire.TaskRunning && t.since == 0 {
+		t.since = p.c.now.Steady
+		if t.spec != nil {
+			r.gotImage(t.spec.Image)
+		}
+	}
+	if tr.State == wire.TaskExited && t.state != wire.TaskExited {
+		if t.since > 0 {
+			t.ranS = (p.c.now.Steady - t.since).Seconds()
+		}
+		switch tr.Why {
+		case wire.WhyError, wire.WhyNoRoom, wire.WhyUnknown:
+			r.avoid[t.ref] = p.c.now.Steady + 4*p.c.times.lease
+			p.c.info("task failed", "task", t.task, "machine", r.name, "why", tr.Why)
+		}
+	}
+	t.state, t.why = tr.State, tr.Why
+}
+
+func (r *rig) gotImage(image string) {
+	for i, x := range r.images {
+		if x == image {
+			copy(r.images[i:], r.images[i+1:])
+			r.images[len(r.images)-1] = image
+			return
+		}
+	}
+	r.images = append(r.images, image)
+	if len(r.images) > 8 {
+		r.images = r.images[1:]
+	}
+	r.dirty = true
+}
+
+// commands lists what the machine must do now: kills first, then clears, then
+// starts. doID is that of the /do they go with, 0 for a response to a report.
+func (p *part) commands(r *rig, doID uint64) []wire.Command {
+	var cmds []wire.Command
+	for _, t := range r.tasks {
+		if t.phase != phaseListed {
+			continue
+		}
+		j := p.c.ledger.accepted(t.ref)
+		over := j == nil || j.final()
+		switch {
+		case t.state == wire.TaskExited:
+			// A completed task is cleared only once that is durable, or a crash
+			// of every controller would lose the only trace of it.
+			if t.why != wire.WhyDone || over || j.isDone(t.index) || j.rec.Spec.Kind == wire.KindService {
+				cmds = append(cmds, wire.Command{Op: wire.OpForget, Task: t.task, Attempt: t.attempt})
+			}
+		case over || j.isDone(t.index):
+			cmds = append(cmds, wire.Command{Op: wire.OpStop, Task: t.task, Attempt: t.attempt})
+		case t.stop && t.state != wire.TaskSaving:
+			cmds = append(cmds, wire.Command{Op: wire.OpStop, Task: t.task, Attempt: t.attempt, GraceS: j.rec.Spec.SaveS})
+		}
+	}
+	for _, t := range r.tasks {
+		if t.phase != phaseQueued {
+			continue
+		}
+		t.token = r.token
+		if doID != 0 {
+			t.phase, t.doID = phaseDirect, doID
+		} else {
+			t.phase = phaseAnswered
+		}
+		cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: t.task, Attempt: t.attempt})
+	}
+	return cmds
+}
+
+// command sends what is urgent by /do.
+func (p *part) command(r *rig) {
+	r.urgent = false
+	if cmds := p.commands(r, p.doID+1); len(cmds) > 0 {
+		p.do(r, cmds)
+	}
+}
+
+// jobOver sees to it that the tasks of a job that has ended are stopped.
+func (p *part) jobOver(j *job) {
+	ref := j.rec.Spec.ID
+	for _, r := range p.rigs {
+		kept := r.tasks[:0]
+		for _, t := range r.tasks {
+			if t.ref == ref {
+				if t.phase == phaseQueued {
+					p.returned = append(p.returned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
+					r.dirty = true
+					continue
+				}
+				if t.live() {
+					r.urgent = true
+				}
+			}
+			kept = append(kept, t)
+		}
+		r.tasks = kept
+	}
+	kept := p.assigned[:0]
+	for _, t := range p.assigned {
+		if t.ref == ref {
+			p.returned = append(p.returned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
+			continue
+		}
+		kept = append(kept, t)
+	}
+	p.assigned = kept
+}
+
+// room is what is free on a machine, starts under way counted.
+func (r *rig) room() room {
+	m := room{cpus: r.mt.CPUs, gpus: r.mt.GPUs, mem: r.mt.MemoryGB, typ: r.typ, zone: r.zone, spot: r.spot, images: r.images}
+	for _, t := range r.tasks {
+		if t.live() && t.spec != nil {
+			m.take(t.spec)
+		}
+	}
+	return m
+}
+
+func (r *rig) open() bool {
+	return r.trusted && r.registered && !r.lapsed && !r.notice && !r.draining && r.mt != nil
+}
+
+// place finds room for what the leader has dispatched. A start goes out in the
+// response to the machine's next report, or by /do if that is far.
+func (p *part) place() {
+	if len(p.assigned) == 0 {
+		return
+	}
+	c := p.c
+	var open []*rig
+	var rooms []room
+	for _, name := range sortedKeys(p.rigs) {
+		if r := p.rigs[name]; r.open() {
+			open = append(open, r)
+			rooms = append(rooms, r.room())
+		}
+	}
+	waiting := p.assigned[:0]
+	for _, t := range p.assigned {
+		j := c.ledger.accepted(t.ref)
+		if j == nil || j.final() {
+			p.returned = append(p.returned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
+			continue
+		}
+		best := -1
+		for i, r := range open {
+			if !rooms[i].fits(t.spec) || !mayRun(&j.rec, t.index, r.typ, r.zone, r.spot) || r.avoid[t.ref] > c.now.Steady {
+				continue
+			}
+			if best < 0 || better(&rooms[i], &rooms[best], t.spec.Image) {
+				best = i
+			}
+		}
+		if best < 0 {
+			// Unplaced for one round: back to the shared queue.
+			if c.now.Steady-t.since >= c.times.round {
+				p.returned = append(p.returned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
+				continue
+			}
+			waiting = append(waiting, t)
+			continue
+		}
+		r := open[best]
+		rooms[best].take(t.spec)
+		if !rooms[best].has(t.spec.Image) {
+			r.gotImage(t.spec.Image)
+			rooms[best].images = r.images
+		}
+		t.phase, t.since = phaseQueued, 0
+		r.tasks = append(r.tasks, t)
+		r.dirty = true
+		if r.heard+c.times.report-c.now.Steady > c.times.report/6 {
+			r.urgent = true
+		}
+	}
+	p.assigned = waiting
+}
+
+// linkUp and linkDown follow the link to the leader. A new link starts with the
+// whole picture; nothing that was sent over an earlier one is read any more.
+func (p *part) linkUp(session uint64) {
+	p.link, p.full = session, true
+	p.lastRead = p.c.now.Steady
+	p.c.emit(PeerSend{Session: session, Message: wire.PeerMessage{Hello: &wire.Hello{Label: p.c.set.Label, Boot: p.c.boot}}})
+}
+
+func (p *part) linkDown(session uint64) {
+	if p.link == session {
+		p.link = 0
+	}
+}
+
+// fromLeader takes the leader's orders; those of another epoch are void.
+func (p *part) fromLeader(m *wire.PeerMessage) {
+	c := p.c
+	p.lastRead = c.now.Steady
+	for _, v := range m.Views {
+		if j := c.ledger.accepted(v.Job); j != nil {
+			j.view = v
+		}
+	}
+	if m.Epoch != p.epoch || !p.mine {
+		return
+	}
+	p.full = p.full || m.Resync
+	for _, d := range m.Dispatch {
+		ref, index, err := wire.ParseTask(d.Task)
+		j := c.ledger.accepted(ref)
+		if err != nil || j == nil || j.final() || j.isDone(index) {
+			p.returned = append(p.returned, wire.TaskTry{Task: d.Task, Attempt: d.Attempt})
+			continue
+		}
+		p.assigned = append(p.assigned, &placed{task: d.Task, ref: ref, index: index, attempt: d.Attempt, spec: &j.rec.Spec, since: c.now.Steady})
+	}
+	for _, s := range m.Stop {
+		for _, r := range p.rigs {
+			for _, t := range r.tasks {
+				if t.task == s.Task && t.live() {
+					t.stop, r.urgent = true, true
+					c.info("stopping task", "task", t.task, "machine", r.name, "why", s.Why)
+				}
+			}
+		}
+	}
+	for _, name := range m.Drain {
+		if r := p.rigs[name]; r != nil && !r.draining {
+			r.draining, r.dirty = true, true
+		}
+	}
+	for _, name := range m.Undrain {
+		if r := p.rigs[name]; r != nil && r.draining {
+			r.draining, r.dirty = false, true
+		}
+	}
+}
+
+// flush tells the leader what has changed.
+func (p *part) flush() {
+	c := p.c
+	if p.link == 0 {
+		return
+	}
+	if p.link != selfLink && c.now.Steady-p.lastRead > 2*c.times.report+c.times.round {
+		c.info("the leader is silent, calling again")
+		c.emit(PeerClose{Session: p.link})
+		p.link = 0
+		return
+	}
+	m := wire.PeerMessage{Epoch: p.epoch, Unfit: p.unfit}
+	if p.full {
+		m.Full = true
+		for _, t := range p.assigned {
+			m.Assigned = append(m.Assigned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
+		}
+	}
+	for _, name := range sortedKeys(p.rigs) {
+		if r := p.rigs[name]; r.dirty || p.full {
+			r.dirty = false
+			m.Machines = append(m.Machines, p.picture(r))
+		}
+	}
+	m.Returned = p.returned
+	idle := !p.full && len(m.Machines) == 0 && len(m.Returned) == 0
+	if idle && c.now.Steady-p.lastSent < c.times.round {
+		return
+	}
+	p.full, p.returned = false, nil
+	p.lastSent = c.now.Steady
+	if p.link == selfLink {
+		c.loop = append(c.loop, func() { c.orch.fromPart(selfLink, &m) })
+		return
+	}
+	c.emit(PeerSend{Session: p.link, Message: m})
+}
+
+func (p *part) picture(r *rig) wire.MachineState {
+	s := wire.MachineState{
+		Name: r.name, Addr: r.addr, Type: r.typ, Zone: r.zone, Spot: r.spot,
+		Sure: r.trusted || r.lapsed, Up: r.trusted && !r.lapsed && r.mt != nil,
+		Notice: r.notice, Draining: r.draining, Images: append([]string(nil), r.images...),
+		SilentS: (p.c.now.Steady - r.heard).Seconds(),
+	}
+	for _, t := range r.tasks {
+		s.Tasks = append(s.Tasks, wire.TaskState{Task: t.task, Attempt: t.attempt, State: t.state, Why: t.why, RanS: t.ranS})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/core/room.go
@@ -0,0 +1,83 @@
+package core
+
+import (
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// slack absorbs rounding in sums of resources.
+const slack = 1e-6
+
+// room is what is free on a machine, and what matters for choosing it. The
+// leader plans with it and the part that owns the machine places with it.
+type room struct {
+	cpus, gpus, mem float64
+	typ, zone       string
+	spot            bool
+	images          []string
+}
+
+func (r *room) fits(j *wire.Job) bool {
+	return r.cpus+slack >= j.CPUs && r.gpus+slack >= j.GPUs && r.mem+slack >= j.MemoryGB
+}
+
+func (r *room) take(j *wire.Job) { r.cpus -= j.CPUs; r.gpus -= j.GPUs; r.mem -= j.MemoryGB }
+
+func (r *room) has(image string) bool {
+	for _, i := range r.images {
+		if i == image {
+			return true
+		}
+	}
+	return false
+}
+
+// allows reports whether a job may run on a machine type at all.
+func allows(j *wire.Job, typ string) bool {
+	if len(j.Types) == 0 {
+		return true
+	}
+	for _, t := range j.Types {
+		if t == typ {
+			return true
+		}
+	}
+	return false
+}
+
+// holds reports whether an empty machine of the type has room for one task.
+func holds(t *wire.MachineType, j *wire.Job) bool {
+	return t.CPUs+slack >= j.CPUs && t.GPUs+slack >= j.GPUs && t.MemoryGB+slack >= j.MemoryGB
+}
+
+// mayRun reports whether task i of a job may be on such a machine. Guards
+// against wrong_place: type, zone and kind, and for a job tied to one zone or
+// spread over two, the zones written into its record before its first start.
+func mayRun(rec *wire.JobRecord, i int, typ, zone string, spot bool) bool {
+	j := &rec.Spec
+	if !allows(j, typ) || j.Zone != "" && j.Zone != zone || spot && !j.Spot {
+		return false
+	}
+	switch {
+	case j.OneZone:
+		return len(rec.Zones) == 1 && rec.Zones[0] == zone
+	case j.Spread:
+		return len(rec.Zones) > 0 && rec.Zones[i%len(rec.Zones)] == zone
+	}
+	return true
+}
+
+// better reports whether a is the better room of two that fit: first one that
+// holds the image, then a cheap one, so that dear ones empty and can be
+// returned, then the one that is left with less (consolidated).
+func better(a, b *room, image string) bool {
+	if x, y := a.has(image), b.has(image); x != y {
+		return x
+	}
+	if a.spot != b.spot {
+		return a.spot
+	}
+	if a.cpus != b.cpus {
+		return a.cpus < b.cpus
+	}
+	return a.mem < b.mem
+}
--- /dev/null
+++ b/internal/core/status.go
@@ -0,0 +1,68 @@
+package core
+
+// Status is the operators' picture of a node.
+type Status struct {
+	Label    string             `json:"label"`
+	Epoch    uint64             `json:"epoch"`
+	Leader   string             `json:"leader"`
+	Members  []string           `json:"members"`
+	Entitled bool               `json:"entitled"`
+	Revision uint64             `json:"revision"`
+	Jobs     map[string]int     `json:"jobs"`
+	Machines map[string]Machine `json:"machines"`
+	Queue    []Waiting          `json:"queue,omitempty"`
+	Teams    map[string]float64 `json:"team_cpus,omitempty"`
+	Desired  float64            `json:"desired_cpus,omitempty"`
+	Means    map[string]float64 `json:"estimates,omitempty"`
+}
+
+// Machine is one of this member's machines.
+type Machine struct {
+	Type    string `json:"type"`
+	Zone    string `json:"zone"`
+	Spot    bool   `json:"spot"`
+	Trusted bool   `json:"trusted"`
+	Silent  bool   `json:"silent"`
+	Drain   bool   `json:"draining"`
+	Tasks   int    `json:"tasks"`
+}
+
+// Waiting is a job in the leader's queue.
+type Waiting struct {
+	Job     string `json:"job"`
+	Waiting int    `json:"waiting"`
+	Flying  int    `json:"placed"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+func (c *Core) status() *Status {
+	s := &Status{
+		Label: c.set.Label, Epoch: c.members.epoch(), Entitled: c.members.entitled(),
+		Revision: c.ledger.revision, Jobs: map[string]int{}, Machines: map[string]Machine{},
+	}
+	if c.ledger.leader != nil {
+		s.Leader = c.ledger.leader.Label
+	}
+	if c.ledger.mapRec != nil {
+		s.Members = sortedKeys(c.ledger.mapRec.Members)
+	}
+	for _, j := range c.ledger.jobs {
+		s.Jobs[j.rec.State]++
+	}
+	for name, r := range c.part.rigs {
+		s.Machines[name] = Machine{Type: r.typ, Zone: r.zone, Spot: r.spot, Trusted: r.trusted, Silent: r.lapsed, Drain: r.draining, Tasks: len(r.tasks)}
+	}
+	if c.members.leading {
+		s.Teams, _ = c.orch.use()
+		s.Desired = c.fleet.desired
+		s.Means = map[string]float64{}
+		for k, m := range c.est.names {
+			s.Means[k] = m.mean
+		}
+		for _, id := range sortedKeys(c.orch.queue) {
+			q := c.orch.queue[id]
+			s.Queue = append(s.Queue, Waiting{Job: id, Waiting: max(q.waiting(), 0), Flying: len(q.flights), Reason: q.reason})
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/state/client.go
@@ -0,0 +1,86 @@
+// Package state is the client of the state service.
+package state
+
+import (
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/core"
+	"github.com/chalkhub/chalkhub/internal/rpc"
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// page is how many keys are read at once.
+const page = 500
+
+// Client talks to the state service. Its methods block.
+type Client struct {
+	rpc     *rpc.Client
+	addr    string
+	timeout time.Duration
+	clock   func() time.Duration
+}
+
+// New makes a client; timeout bounds each call beyond what a watch holds.
+func New(addr string, timeout time.Duration, clock func() time.Duration) *Client {
+	return &Client{rpc: rpc.New(64, timeout), addr: addr, timeout: timeout, clock: clock}
+}
+
+// Commit runs a transaction.
+func (c *Client) Commit(e core.Commit) core.CommitDone {
+	d := core.CommitDone{ID: e.ID}
+	if e.Txn.If == nil {
+		e.Txn.If = []wire.Guard{}
+	}
+	d.Status = c.rpc.Call("POST", c.addr, "/commit", e.Txn, &d.Answer, c.timeout, 200, 409)
+	return d
+}
+
+// Load reads every key of ours. The revision is that of the first page: what
+// changes while later pages are read comes again through the watch.
+func (c *Client) Load() core.LoadDone {
+	d := core.LoadDone{Sent: c.clock()}
+	since := ""
+	for {
+		var items wire.Items
+		q := "/store?Starts=" + url.QueryEscape(core.KeyPrefix) + "&Page=" + strconv.Itoa(page)
+		if since != "" {
+			q += "&Since=" + url.QueryEscape(since)
+		}
+		if c.rpc.Call("GET", c.addr, q, nil, &items, c.timeout, 200) != 200 {
+			return d
+		}
+		if since == "" {
+			d.Revision = items.Revision
+		}
+		d.Items = append(d.Items, items.Items...)
+		if !items.More || len(items.Items) == 0 {
+			d.OK = true
+			return d
+		}
+		since = items.Items[len(items.Items)-1].Key
+	}
+}
+
+// Follow waits for changes.
+func (c *Client) Follow(e core.Follow) core.FollowDone {
+	d := core.FollowDone{Barrier: e.Barrier, Sent: c.clock()}
+	q := "/follow?Starts=" + url.QueryEscape(core.KeyPrefix) + "&Since=" + strconv.FormatUint(e.Since, 10) +
+		"&HoldMs=" + strconv.FormatInt(e.Hold.Milliseconds(), 10)
+	d.Status = c.rpc.Call("GET", c.addr, q, nil, &d.Answer, c.timeout+e.Hold, 200)
+	return d
+}
+
+// Lease renews a lease, or asks for one.
+func (c *Client) Lease(e core.Lease) core.LeaseDone {
+	d := core.LeaseDone{Sent: c.clock(), Lease: e.Lease}
+	if e.Lease != 0 {
+		d.Status = c.rpc.Call("POST", c.addr, "/holds/"+strconv.FormatUint(e.Lease, 10)+"/extend", nil, nil, c.timeout)
+		return d
+	}
+	var a wire.LeaseAnswer
+	d.Status = c.rpc.Call("POST", c.addr, "/holds", wire.LeaseRequest{TTLms: e.TTL.Milliseconds()}, &a, c.timeout, 200)
+	d.Lease = a.Lease
+	return d
+}
--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,53 @@
+// Package wire holds the messages of every interface. The protocol's own field
+// names appear here and nowhere else.
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// MaxBody is the largest request body the protocol allows.
+const MaxBody = 64 << 10
+
+// ContentType of every body but the peer link's.
+const ContentType = "application/msgpack"
+
+// Raw is an undecoded MessagePack value.
+type Raw = msgpack.RawMessage
+
+// ErrTrailing is returned when bytes follow the value.
+var ErrTrailing = errors.New("trailing bytes after the value")
+
+// Encode turns v into MessagePack. It panics on types that cannot be encoded,
+// which only a programming error can cause.
+func Encode(v any) []byte {
+	var buf bytes.Buffer
+	enc := msgpack.GetEncoder()
+	enc.Reset(&buf)
+	enc.UseCompactInts(true)
+	err := enc.Encode(v)
+	msgpack.PutEncoder(enc)
+	if err != nil {
+		panic(fmt.Sprintf("wire: encode %T: %v", v, err))
+	}
+	return buf.Bytes()
+}
+
+// Decode reads one value and refuses trailing bytes.
+func Decode(b []byte, v any) error {
+	r := bytes.NewReader(b)
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
+	dec.Reset(r)
+	if err := dec.Decode(v); err != nil {
+		return err
+	}
+	if r.Len() > 0 {
+		return ErrTrailing
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/peer.go
@@ -0,0 +1,75 @@
+package wire
+
+// PeerMessage is one line of the peer link. A member dials the leader, says
+// Hello, sends its whole picture and then what changes; the leader sends
+// dispatches. Each message carries the epoch it belongs to: one from another
+// epoch is void.
+type PeerMessage struct {
+	Epoch    uint64         `json:"epoch"`
+	Hello    *Hello         `json:"hello,omitempty"`
+	Full     bool           `json:"full,omitempty"` // Machines and Assigned are complete
+	Machines []MachineState `json:"machines,omitempty"`
+	Assigned []TaskTry      `json:"assigned,omitempty"` // dispatched, not placed yet
+	Returned []TaskTry      `json:"returned,omitempty"` // could not be placed
+	Unfit    bool           `json:"unfit,omitempty"`    // reaches no worker
+
+	Dispatch []TaskTry  `json:"dispatch,omitempty"`
+	Stop     []TaskStop `json:"stop,omitempty"`
+	Drain    []string   `json:"drain,omitempty"`
+	Undrain  []string   `json:"undrain,omitempty"`
+	Views    []JobView  `json:"views,omitempty"`
+	Resync   bool       `json:"resync,omitempty"` // the whole picture again, please
+}
+
+// Hello opens a peer link.
+type Hello struct {
+	Label string `json:"label"`
+	Boot  string `json:"boot"`
+}
+
+// TaskTry names one attempt of a task.
+type TaskTry struct {
+	Task    string `json:"task"`
+	Attempt uint64 `json:"try"`
+	Machine string `json:"machine,omitempty"`
+}
+
+// TaskStop asks a part to stop a task.
+type TaskStop struct {
+	Task   string `json:"task"`
+	Why    string `json:"why"`
+	Urgent bool   `json:"urgent,omitempty"`
+}
+
+// MachineState is a part's picture of one machine. Sure means that no task but
+// the listed ones can be on the machine; Up that it can be given work.
+type MachineState struct {
+	Name     string      `json:"name"`
+	Addr     string      `json:"addr,omitempty"`
+	Type     string      `json:"type,omitempty"`
+	Zone     string      `json:"zone,omitempty"`
+	Spot     bool        `json:"spot,omitempty"`
+	Sure     bool        `json:"sure,omitempty"`
+	Up       bool        `json:"up,omitempty"`
+	Notice   bool        `json:"notice,omitempty"`
+	Draining bool        `json:"draining,omitempty"`
+	SilentS  float64     `json:"silent,omitempty"`
+	Images   []string    `json:"images,omitempty"`
+	Tasks    []TaskState `json:"tasks,omitempty"`
+}
+
+// TaskState is a task in a part's picture.
+type TaskState struct {
+	Task    string  `json:"task"`
+	Attempt uint64  `json:"try"`
+	State   string  `json:"state,omitempty"`
+	Why     string  `json:"why,omitempty"`
+	RanS    float64 `json:"ran,omitempty"` // how long the part has seen it run
+}
+
+// JobView is what the leader lets every node tell about a job.
+type JobView struct {
+	Job     string `json:"job"`
+	Running int    `json:"running"`
+	Reason  string `json:"reason,omitempty"`
+}
--- /dev/null
+++ b/internal/wire/users.go
@@ -0,0 +1,259 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"regexp"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Kinds of job.
+const (
+	KindArray   = "array"
+	KindGang    = "ensemble"
+	KindService = "daemon"
+)
+
+// Urgencies of a job, most urgent first.
+const (
+	UrgencyProduction = "prod"
+	UrgencyHigh       = "high"
+	UrgencyNormal     = "standard"
+	UrgencyLow        = "idle"
+)
+
+// States of a job as users see them.
+const (
+	JobQueued    = "queued"
+	JobRunning   = "running"
+	JobDone      = "done"
+	JobCancelled = "aborted"
+)
+
+// MaxTasks is the largest number of tasks in a job.
+const MaxTasks = 100_000
+
+// Job is a job as its user describes it.
+type Job struct {
+	ID          string   `msgpack:"Ref"`
+	Class       string   `msgpack:"Lotclass"`
+	Team        string   `msgpack:"Desk"`
+	Kind        string   `msgpack:"Genre"`
+	Urgency     string   `msgpack:"Urgency"`
+	Tasks       int      `msgpack:"Lots"`
+	CPUs        float64  `msgpack:"Cpus"`
+	GPUs        float64  `msgpack:"Gpus,omitempty"`
+	MemoryGB    float64  `msgpack:"MemoryGb"`
+	Image       string   `msgpack:"Kit"`
+	ImageGB     float64  `msgpack:"ImageGb"`
+	Types       []string `msgpack:"Rigtypes,omitempty"`
+	Zone        string   `msgpack:"Yard,omitempty"`
+	OneZone     bool     `msgpack:"Together,omitempty"`
+	Spread      bool     `msgpack:"Apart,omitempty"`
+	Spot        bool     `msgpack:"Loaner,omitempty"`
+	EstimateS   float64  `msgpack:"GuessS"`
+	CheckpointS float64  `msgpack:"BookmarkS,omitempty"`
+	SaveS       float64  `msgpack:"StashS,omitempty"`
+	DeadlineS   float64  `msgpack:"GavelS,omitempty"` // 0: none
+}
+
+// JobAnswer is what a user is told about a job.
+type JobAnswer struct {
+	ID      string `msgpack:"Ref"`
+	State   string `msgpack:"Status"`
+	Done    int    `msgpack:"done"`
+	Running int    `msgpack:"running"`
+	Reason  string `msgpack:"Reason,omitempty"`
+}
+
+// ErrorAnswer is the body of a refusal.
+type ErrorAnswer struct {
+	Error string `msgpack:"error"`
+}
+
+var jobID = regexp.MustCompile(`^job-[0-9]{1,18}$`)
+
+// ValidJobID reports whether s has the form of a job id.
+func ValidJobID(s string) bool { return jobID.MatchString(s) }
+
+// DecodeJob reads a submission strictly: every field must be there with its
+// type, apart from those that may be null.
+func DecodeJob(b []byte) (Job, error) {
+	r := bytes.NewReader(b)
+	dec := msgpack.NewDecoder(r)
+	m, err := dec.DecodeMap()
+	if err != nil {
+		return Job{}, fmt.Errorf("body: %w", err)
+	}
+	if m == nil {
+		return Job{}, errors.New("body: not a map")
+	}
+	if r.Len() > 0 {
+		return Job{}, ErrTrailing
+	}
+	f := fields{m: m}
+	j := Job{
+		ID:          f.text("Ref"),
+		Class:       f.text("Lotclass"),
+		Team:        f.text("Desk"),
+		Kind:        f.oneOf("Genre", KindArray, KindGang, KindService),
+		Urgency:     f.oneOf("Urgency", UrgencyProduction, UrgencyHigh, UrgencyNormal, UrgencyLow),
+		Tasks:       f.count("Lots"),
+		CPUs:        f.amount("Cpus"),
+		GPUs:        f.amount("Gpus"),
+		MemoryGB:    f.amount("MemoryGb"),
+		Image:       f.text("Kit"),
+		ImageGB:     f.amount("ImageGb"),
+		Types:       f.texts("Rigtypes"),
+		Zone:        f.optionalText("Yard"),
+		OneZone:     f.flag("Together"),
+		Spread:      f.flag("Apart"),
+		Spot:        f.flag("Loaner"),
+		EstimateS:   f.amount("GuessS"),
+		CheckpointS: f.amount("BookmarkS"),
+		SaveS:       f.amount("StashS"),
+		DeadlineS:   f.optionalAmount("GavelS"),
+	}
+	if f.err == nil && !ValidJobID(j.ID) {
+		f.fail("Ref", "is not a job id")
+	}
+	if f.err == nil && (j.Tasks < 1 || j.Tasks > MaxTasks) {
+		f.fail("Lots", fmt.Sprintf("must be from 1 to %d", MaxTasks))
+	}
+	return j, f.err
+}
+
+// fields takes typed values out of a decoded map and keeps the first error.
+type fields struct {
+	m   map[string]any
+	err error
+}
+
+func (f *fields) fail(name, what string) {
+	if f.err == nil {
+		f.err = fmt.Errorf("field %s %s", name, what)
+	}
+}
+
+func (f *fields) get(name string) any {
+	v, ok := f.m[name]
+	if !ok || v == nil {
+		f.fail(name, "is missing")
+	}
+	return v
+}
+
+func (f *fields) text(name string) string {
+	s, ok := f.get(name).(string)
+	if !ok || s == "" || len(s) > 200 {
+		f.fail(name, "must be a text of 1 to 200 bytes")
+	}
+	return s
+}
+
+func (f *fields) optionalText(name string) string {
+	if f.m[name] == nil {
+		return ""
+	}
+	return f.text(name)
+}
+
+func (f *fields) oneOf(name string, allowed ...string) string {
+	s := f.text(name)
+	for _, a := range allowed {
+		if s == a {
+			return s
+		}
+	}
+	f.fail(name, "has an unknown value")
+	return s
+}
+
+func (f *fields) flag(name string) bool {
+	b, ok := f.get(name).(bool)
+	if !ok {
+		f.fail(name, "must be true or false")
+	}
+	return b
+}
+
+func (f *fields) amount(name string) float64 {
+	x, ok := number(f.get(name))
+	if !ok || math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
+		f.fail(name, "must be a finite number, not negative")
+		return 0
+	}
+	return x
+}
+
+func (f *fields) optionalAmount(name string) float64 {
+	if f.m[name] == nil {
+		return 0
+	}
+	return f.amount(name)
+}
+
+func (f *fields) count(name string) int {
+	v := f.get(name)
+	x, ok := number(v)
+	switch v.(type) {
+	case float32, float64:
+		ok = false
+	}
+	if !ok || x < 0 || x > 1<<53 {
+		f.fail(name, "must be a whole number, not negative")
+		return 0
+	}
+	return int(x)
+}
+
+func (f *fields) texts(name string) []string {
+	v := f.m[name]
+	if v == nil {
+		return nil
+	}
+	list, ok := v.([]any)
+	if !ok || len(list) == 0 {
+		f.fail(name, "must be null or a list of texts")
+		return nil
+	}
+	out := make([]string, 0, len(list))
+	for _, e := range list {
+		s, ok := e.(string)
+		if !ok || s == "" {
+			f.fail(name, "must be null or a list of texts")
+			return nil
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func number(v any) (float64, bool) {
+	switch x := v.(type) {
+	case float64:
+		return x, true
+	case float32:
+		return float64(x), true
+	case int8:
+		return float64(x), true
+	case int16:
+		return float64(x), true
+	case int32:
+		return float64(x), true
+	case int64:
+		return float64(x), true
+	case uint8:
+		return float64(x), true
+	case uint16:
+		return float64(x), true
+	case uint32:
+		return float64(x), true
+	case uint64:
+		return float64(x), true
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/worker/client.go
@@ -0,0 +1,27 @@
+// Package worker is the client of the workers' direct commands.
+package worker
+
+import (
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/core"
+	"github.com/chalkhub/chalkhub/internal/rpc"
+)
+
+// Client talks to workers. Its methods block.
+type Client struct {
+	rpc     *rpc.Client
+	timeout time.Duration
+}
+
+// New makes a client; timeout bounds a call.
+func New(timeout time.Duration) *Client {
+	return &Client{rpc: rpc.New(2, timeout), timeout: timeout}
+}
+
+// Do sends commands to a worker.
+func (c *Client) Do(e core.Do) core.DoDone {
+	d := core.DoDone{Machine: e.Machine, ID: e.ID}
+	d.Status = c.rpc.Call("POST", e.Addr, "/do", e.Body, &d.Report, c.timeout, 200, 409)
+	return d
+}
