--- /dev/null
+++ b/internal/api/server_test.go
@@ -0,0 +1,87 @@
+package api
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"github.com/chalkhub/chalkhub/internal/core"
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// scripted answers as the engine would.
+type scripted struct {
+	ready bool
+	reply func(core.Command) (core.Reply, bool)
+}
+
+func (s *scripted) Ask(build func(core.RequestID) core.Command, _ time.Duration) (core.Reply, bool) {
+	return s.reply(build(1))
+}
+func (s *scripted) Ready() bool { return s.ready }
+
+func serve(t *testing.T, e Asker) *fasthttp.Client {
+	ln := fasthttputil.NewInmemoryListener()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go New(e, 100).Serve(ctx, ln)
+	return &fasthttp.Client{Dial: func(string) (net.Conn, error) { return ln.Dial() }}
+}
+
+func do(t *testing.T, c *fasthttp.Client, method, path string, body []byte) (int, string) {
+	t.Helper()
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://x" + path)
+	req.SetBody(body)
+	if err := c.Do(&req, &resp); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode(), string(resp.Header.Peek("Retry-After"))
+}
+
+func TestAnswers(t *testing.T) {
+	e := &scripted{reply: func(c core.Command) (core.Reply, bool) {
+		switch c := c.(type) {
+		case core.Query:
+			if c.Job == "job-1" {
+				return core.Reply{Status: 200, Body: wire.JobAnswer{ID: "job-1", State: wire.JobDone}}, true
+			}
+			return core.Reply{Status: 503, Body: wire.ErrorAnswer{}, RetryAfter: time.Second}, true
+		case core.WorkerReport:
+			return core.Reply{Status: 421, Body: wire.Redirect{ReportTo: "b"}}, true
+		}
+		return core.Reply{}, false
+	}}
+	c := serve(t, e)
+	for _, x := range []struct {
+		method, path string
+		body         []byte
+		status       int
+		retry        string
+	}{
+		{"GET", "/ready", nil, 503, "1"},
+		{"GET", "/v2/runs/job-1", nil, 200, ""},
+		{"GET", "/v2/runs/job-2", nil, 503, "1"},
+		{"POST", "/v2/runs/job-1/abort", nil, 503, "1"}, // the engine is busy
+		{"POST", "/v2/runs", []byte("{}"), 400, ""},
+		{"POST", "/v2/runs", []byte(strings.Repeat("x", wire.MaxBody+1)), 400, ""},
+		{"POST", "/v1/report", []byte{0xc1}, 400, ""},
+		{"POST", "/v1/report", wire.Encode(wire.Report{Machine: "n-1"}), 421, ""},
+		{"GET", "/elsewhere", nil, 404, ""},
+	} {
+		if status, retry := do(t, c, x.method, x.path, x.body); status != x.status || retry != x.retry {
+			t.Errorf("%s %s: %d, Retry-After %q", x.method, x.path, status, retry)
+		}
+	}
+	e.ready = true
+	if status, _ := do(t, c, "GET", "/ready", nil); status != 200 {
+		t.Errorf("ready: %d", status)
+	}
+}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -66,3 +66,6 @@
 	}
 	return s
 }
+
+// Leads reports whether this node leads.
+func (c *Core) Leads() bool { return c.members.leading }
--- /dev/null
+++ b/internal/core/story_test.go
@@ -0,0 +1,445 @@
+package core_test
+
+import (
+	"flag"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/fake"
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+const second = time.Second
+
+// seeds is raised by hand to look for rarer interleavings:
+// go test ./internal/core -run Overlap -seeds 1000
+var seeds = flag.Uint64("seeds", 12, "how many overlapping days are drawn")
+
+// story runs a world and fails on any broken rule.
+type story struct {
+	*fake.World
+	t *testing.T
+}
+
+func begin(t *testing.T, seed uint64) *story {
+	t.Helper()
+	s := &story{World: fake.New(seed, 3), t: t}
+	if !s.Until(20*second, func() bool {
+		for _, n := range s.Nodes {
+			if !n.Ready {
+				return false
+			}
+		}
+		return true
+	}) {
+		t.Fatal("the nodes do not become ready")
+	}
+	return s
+}
+
+func (s *story) rules() {
+	s.t.Helper()
+	if len(s.Broken) > 0 {
+		s.t.Fatalf("broken rules:\n%s", strings.Join(s.Broken, "\n"))
+	}
+}
+
+// within lets time pass until cond holds and fails if it does not in time.
+func (s *story) within(d time.Duration, what string, cond func() bool) {
+	s.t.Helper()
+	if !s.Until(s.Now+d, cond) {
+		s.rules()
+		n := len(s.Logs)
+		s.t.Fatalf("not within %v: %s\n%s", d, what, strings.Join(s.Logs[max(0, n-40):], "\n"))
+	}
+	s.rules()
+}
+
+func (s *story) leader() *fake.Node {
+	for _, n := range s.Nodes {
+		if n.Alive() && n.Core.Leads() {
+			return n
+		}
+	}
+	s.t.Fatal("no leader")
+	return nil
+}
+
+func (s *story) follower() *fake.Node {
+	for _, n := range s.Nodes {
+		if n.Alive() && !n.Core.Leads() {
+			return n
+		}
+	}
+	s.t.Fatal("no follower")
+	return nil
+}
+
+func TestQuietDay(t *testing.T) {
+	s := begin(t, 1)
+	for range 4 {
+		s.Users.Submit(fake.Array(10), 8)
+	}
+	s.within(120*second, "every job is done and its user knows", s.Users.AllTold)
+	// Idle machines go back in the end.
+	s.within(600*second, "idle machines are returned", func() bool { return s.Cloud.Deleted == s.Cloud.Hired })
+}
+
+// The checker itself: a story in which a rule is broken must be caught, or every
+// other story asserts nothing.
+func TestCheckerCatchesATaskThatRunsTwice(t *testing.T) {
+	s := begin(t, 2)
+	j := s.Users.Submit(fake.Array(1), 60)
+	s.within(60*second, "the task runs", func() bool { return j.Running() == 1 })
+	other := s.Cloud.Add("box", "b", false)
+	s.Workers[other].Force(wire.TaskName(j.Spec.ID, 0), 99)
+	s.Run(s.Now + 5*second)
+	if len(s.Broken) == 0 || !strings.Contains(s.Broken[0], "ran_twice") {
+		t.Fatalf("the checker saw %q", s.Broken)
+	}
+}
+
+func TestLeaderCrash(t *testing.T) {
+	s := begin(t, 3)
+	a, b := s.Users.Submit(fake.Array(12), 20), s.Users.Submit(fake.Array(12), 20)
+	s.within(60*second, "tasks run", func() bool { return a.Running()+b.Running() > 6 })
+	s.leader().Crash(8 * second)
+	s.within(120*second, "the work goes on", s.Users.AllTold)
+}
+
+func TestEveryControllerCrashes(t *testing.T) {
+	s := begin(t, 4)
+	for range 3 {
+		s.Users.Submit(fake.Array(12), 15)
+	}
+	s.Run(s.Now + 25*second)
+	for _, n := range s.Nodes {
+		n.Crash(5 * second)
+	}
+	s.within(180*second, "nothing accepted is lost", s.Users.AllTold)
+}
+
+func TestRollingRestart(t *testing.T) {
+	s := begin(t, 5)
+	for range 4 {
+		s.Users.Submit(fake.Array(15), 12)
+	}
+	for i, n := range s.Nodes {
+		s.After(time.Duration(10+15*i)*second, func() { n.Crash(4 * second) })
+	}
+	s.within(200*second, "the work goes on", s.Users.AllTold)
+}
+
+// An outage longer than the workers' lease: nodes must fall silent, workers drop
+// their tasks, and none of them may run twice afterwards.
+func TestStateOutageBeyondTheLease(t *testing.T) {
+	s := begin(t, 6)
+	j := s.Users.Submit(fake.Array(16), 40)
+	s.within(60*second, "tasks run", func() bool { return j.Running() > 8 })
+	s.State.Outage(40 * second)
+	s.Run(s.Now + 39*second)
+	s.rules()
+	s.within(180*second, "the work is done again", s.Users.AllTold)
+}
+
+// A node refused by the state service alone keeps hearing its workers; it must
+// stop answering them before the others give their tasks away.
+func TestNodeRefusedByTheStateService(t *testing.T) {
+	for seed := range uint64(4) {
+		s := begin(t, 10+seed)
+		for range 3 {
+			s.Users.Submit(fake.Array(12), 15)
+		}
+		s.Run(s.Now + 20*second)
+		n := s.Nodes[seed%3]
+		s.State.Refuses[n.Label] = true
+		s.After(40*second, func() { delete(s.State.Refuses, n.Label) })
+		s.within(240*second, "the work goes on", s.Users.AllTold)
+	}
+}
+
+// A cut that keeps packets delivers old commands and reports when it ends.
+func TestCutDeliversOldPackets(t *testing.T) {
+	for seed := range uint64(4) {
+		s := begin(t, 20+seed)
+		for range 3 {
+			s.Users.Submit(fake.Array(12), 15)
+		}
+		s.Run(s.Now + 18*second)
+		n := s.Nodes[seed%3]
+		ends := []string{"state", s.Nodes[(seed+1)%3].Label, s.Nodes[(seed+2)%3].Label}
+		for _, e := range ends {
+			s.Cut(n.Label, e, true)
+		}
+		s.After(30*second, func() {
+			for _, e := range ends {
+				s.Mend(n.Label, e)
+			}
+		})
+		s.within(240*second, "the work goes on", s.Users.AllTold)
+	}
+}
+
+// A machine behind a cut keeps running its tasks until its lease ends; they are
+// started elsewhere only afterwards.
+func TestMachineCutOff(t *testing.T) {
+	s := begin(t, 30)
+	j := s.Users.Submit(fake.Array(8), 50)
+	s.within(60*second, "every task runs", func() bool { return j.Running() == 8 })
+	name := j.On(0)
+	for _, n := range s.Nodes {
+		s.Cut(n.Label, name, true)
+	}
+	s.After(60*second, func() {
+		for _, n := range s.Nodes {
+			s.Mend(n.Label, name)
+		}
+	})
+	s.within(240*second, "its tasks run elsewhere", s.Users.AllTold)
+}
+
+// A worker that hangs and resumes within its lease still has its tasks.
+func TestHungMachineResumes(t *testing.T) {
+	s := begin(t, 31)
+	j := s.Users.Submit(fake.Array(8), 30)
+	s.within(60*second, "every task runs", func() bool { return j.Running() == 8 })
+	k := s.Workers[j.On(3)]
+	k.Hung = true
+	s.leader().Crash(3 * second)
+	s.After(12*second, func() { k.Hung = false })
+	s.within(200*second, "the job is done", s.Users.AllTold)
+}
+
+// Transactions without an answer that are applied late must not accept a job
+// twice, lose one or undo a cancellation.
+func TestLateTransactionsAndLostAnswers(t *testing.T) {
+	for seed := range uint64(4) {
+		s := begin(t, 40+seed)
+		s.State.LateShare, s.State.LateBy = 0.15, 6*second
+		s.Loss = 0.03
+		jobs := []*fake.Job{}
+		for range 6 {
+			jobs = append(jobs, s.Users.Submit(fake.Array(6), 8))
+		}
+		s.After(12*second, func() { s.Users.Abort(jobs[0]); s.Users.Abort(jobs[1]) })
+		s.within(400*second, "every job is over", s.Users.AllTold)
+		for _, j := range jobs {
+			s.Users.Resubmit(j) // however late, the answer is its state
+		}
+		s.Run(s.Now + 20*second)
+		s.rules()
+	}
+}
+
+func TestAbortStopsEverything(t *testing.T) {
+	s := begin(t, 50)
+	spec := fake.Array(20)
+	spec.CheckpointS, spec.SaveS = 5, 4
+	j := s.Users.Submit(spec, 300)
+	s.within(60*second, "tasks run", func() bool { return j.Running() > 5 })
+	s.Users.Abort(j)
+	s.leader().Crash(5 * second)
+	s.within(40*second, "no task is left", func() bool { return j.Told == wire.JobCancelled && j.Running() == 0 })
+	s.Run(s.Now + 60*second)
+	s.rules()
+	if !strings.Contains(j.Answer.Reason, "cancelled") {
+		t.Fatalf("the reason is %q", j.Answer.Reason)
+	}
+}
+
+// Quota holds across a take-over: machines that have not been seen count as
+// full of the team's tasks.
+func TestQuotaAcrossTakeOver(t *testing.T) {
+	s := begin(t, 51)
+	spec := fake.Array(60)
+	spec.Team, spec.EstimateS = "red", 100
+	j := s.Users.Submit(spec, 20)
+	s.within(90*second, "the team is at its limit", func() bool { return j.Running() == 24 })
+	for _, n := range s.Nodes {
+		n.Crash(4 * second)
+	}
+	s.within(300*second, "the job is done", s.Users.AllTold)
+}
+
+func TestLimitIsGivenAsReason(t *testing.T) {
+	s := begin(t, 52)
+	spec := fake.Array(40)
+	spec.Team, spec.EstimateS = "red", 100
+	j := s.Users.Submit(spec, 200)
+	s.within(90*second, "the reason names the limit", func() bool {
+		return strings.Contains(j.Answer.Reason, "team red is at its limit")
+	})
+}
+
+func TestZoneRules(t *testing.T) {
+	s := begin(t, 53)
+	together, apart, pinned := fake.Array(9), fake.Array(9), fake.Array(5)
+	together.OneZone, apart.Spread, pinned.Zone = true, true, "b"
+	pinned.Spot = false
+	pinned.Types = []string{"box"}
+	s.Users.Submit(together, 15)
+	s.Users.Submit(apart, 15)
+	s.Users.Submit(pinned, 15)
+	s.After(25*second, func() { s.leader().Crash(3 * second) })
+	s.within(240*second, "all are done", s.Users.AllTold)
+}
+
+func TestServiceRunsUntilCancelled(t *testing.T) {
+	s := begin(t, 54)
+	spec := fake.Array(4)
+	spec.Kind, spec.EstimateS = wire.KindService, 0
+	j := s.Users.Submit(spec, 0)
+	s.within(60*second, "all replicas run", func() bool { return j.Running() == 4 })
+	s.Cloud.Remove(j.On(0))
+	s.within(90*second, "lost replicas run again", func() bool { return j.Running() == 4 })
+	s.Run(s.Now + 60*second)
+	s.Users.Abort(j)
+	s.within(60*second, "it is over", s.Users.AllTold)
+}
+
+// A machine that fails every task is drained, returned and replaced, and the
+// jobs it failed are done elsewhere.
+func TestFaultyMachine(t *testing.T) {
+	s := begin(t, 60)
+	a := s.Users.Submit(fake.Array(8), 10)
+	s.within(60*second, "tasks run", func() bool { return a.Running() > 0 })
+	bad := a.On(0)
+	s.Workers[bad].Faulty = true
+	for range 5 {
+		s.Users.Submit(fake.Array(8), 10)
+	}
+	s.within(200*second, "every job is done", s.Users.AllTold)
+	s.within(60*second, "the machine is gone", func() bool { return s.Workers[bad] == nil })
+}
+
+// A job submitted with a mistake fails everywhere: it says so, and no machine
+// is blamed for it.
+func TestJobThatFailsEverywhere(t *testing.T) {
+	s := begin(t, 61)
+	bad := s.Users.Submit(fake.Array(4), 10)
+	bad.Mistaken = true
+	good := s.Users.Submit(fake.Array(12), 25)
+	s.within(200*second, "the good job is done", func() bool { return good.Told == wire.JobDone })
+	s.within(60*second, "the bad one says why", func() bool { return strings.Contains(bad.Answer.Reason, "failed") })
+	for _, l := range s.Logs {
+		if strings.Contains(l, "quarantined") {
+			t.Fatalf("a machine is blamed: %s", l)
+		}
+	}
+	s.Users.Abort(bad)
+	s.within(60*second, "all are over", s.Users.AllTold)
+}
+
+func TestBootsThatNeverEndAreGivenUp(t *testing.T) {
+	s := begin(t, 62)
+	s.Cloud.NeverUp = 2
+	s.Users.Submit(fake.Array(8), 10)
+	s.within(240*second, "the job is done", s.Users.AllTold)
+	s.within(300*second, "nothing is left", func() bool { return s.Cloud.Deleted == s.Cloud.Hired })
+}
+
+func TestStrangersAreUsed(t *testing.T) {
+	s := begin(t, 63)
+	s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = 0, 0
+	j := s.Users.Submit(fake.Array(4), 5)
+	s.within(60*second, "the reason names the cloud", func() bool { return strings.Contains(j.Answer.Reason, "cloud") })
+	s.Cloud.Add("box", "a", true)
+	s.within(60*second, "the job is done", s.Users.AllTold)
+}
+
+func TestImpossibleJobsAreRefused(t *testing.T) {
+	s := begin(t, 64)
+	team, size, zone, limit := fake.Array(1), fake.Array(1), fake.Array(1), fake.Array(1)
+	team.Team = "green"
+	size.CPUs = 17
+	zone.Zone, zone.Types = "b", []string{"barn"}
+	limit.Team, limit.Kind, limit.Tasks = "red", wire.KindService, 25
+	var jobs []*fake.Job
+	for _, spec := range []wire.Job{team, size, zone, limit} {
+		jobs = append(jobs, s.Users.Submit(spec, 1))
+	}
+	s.within(5*second, "all are refused", func() bool {
+		for _, j := range jobs {
+			if j.Refused != 422 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestUrgentWorkStartsFirst(t *testing.T) {
+	s := begin(t, 65)
+	s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = 0, 1
+	low, high := fake.Array(30), fake.Array(10)
+	low.Urgency, high.Urgency = wire.UrgencyLow, wire.UrgencyHigh
+	l, h := s.Users.Submit(low, 10), s.Users.Submit(high, 10)
+	s.within(200*second, "the urgent job is done", func() bool { return h.Told == wire.JobDone })
+	if l.Answer.Done > 10 {
+		t.Fatalf("%d tasks of the report are done before the urgent job", l.Answer.Done)
+	}
+}
+
+// A job of more tasks than one value of the state service can hold.
+func TestHugeJobIsAccepted(t *testing.T) {
+	s := begin(t, 66)
+	s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = 0, 1
+	j := s.Users.Submit(fake.Array(wire.MaxTasks), 1)
+	s.within(120*second, "progress is told", func() bool { return j.Answer.Done > 100 })
+}
+
+// Whatever overlaps: crashes, cuts, lost machines, lost answers, outages.
+func TestTroublesOverlap(t *testing.T) {
+	for seed := range *seeds {
+		s := begin(t, 100+seed)
+		s.Loss = 0.01
+		s.State.LateShare, s.State.LateBy = 0.03, 5*second
+		r := s.Rand
+		for i := range 12 {
+			spec := fake.Array(4 + r.IntN(12))
+			if i%4 == 0 {
+				spec.Team = "red"
+			}
+			if i%5 == 0 {
+				spec.OneZone = true
+			}
+			s.After(time.Duration(r.IntN(60))*second, func() {
+				j := s.Users.Submit(spec, 3+r.Float64()*20)
+				if i%6 == 5 {
+					s.After(time.Duration(5+r.IntN(40))*second, func() { s.Users.Abort(j) })
+				}
+			})
+		}
+		for range 6 {
+			at := time.Duration(10+r.IntN(90)) * second
+			n := s.Nodes[r.IntN(3)]
+			switch r.IntN(5) {
+			case 0:
+				s.After(at, func() { n.Crash(time.Duration(1+r.IntN(8)) * second) })
+			case 1:
+				s.After(at, func() { s.State.Outage(time.Duration(5+r.IntN(25)) * second) })
+			case 2:
+				end := []string{"state", "workers", s.Nodes[r.IntN(3)].Label, "cloud"}[r.IntN(4)]
+				keep := r.IntN(2) == 0
+				s.After(at, func() { s.Cut(n.Label, end, keep) })
+				s.After(at+time.Duration(5+r.IntN(30))*second, func() { s.Mend(n.Label, end) })
+			case 3:
+				s.After(at, func() {
+					for _, k := range s.SomeWorkers(2) {
+						s.Cloud.Remove(k.Info.Name)
+					}
+				})
+			case 4:
+				s.After(at, func() {
+					for _, k := range s.SomeWorkers(2) {
+						k.Hung = true
+						s.After(time.Duration(3+r.IntN(25))*second, func() { k.Hung = false })
+					}
+				})
+			}
+		}
+		s.Run(110 * second)
+		s.within(500*second, "every job is over", s.Users.AllTold)
+	}
+}
--- /dev/null
+++ b/internal/fake/cloud.go
@@ -0,0 +1,131 @@
+package fake
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/config"
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// Cloud rents machines.
+type Cloud struct {
+	w        *World
+	types    []wire.MachineType
+	machines map[string]*machine
+	answers  map[string][]string
+	next     int
+	// Capacity is how many machines of a type there are; -1 or absent: any.
+	Capacity map[string]int
+	// NeverUp makes the next machines that are rented stay booting.
+	NeverUp int
+	Hired   int
+	Deleted int
+}
+
+type machine struct {
+	wire.Machine
+	since time.Duration
+	gone  time.Duration // 0: there
+}
+
+func newCloud(w *World, types []wire.MachineType) *Cloud {
+	return &Cloud{w: w, types: types, machines: map[string]*machine{}, answers: map[string][]string{}, Capacity: map[string]int{}}
+}
+
+// Type is one of the types.
+func (c *Cloud) Type(name string) *wire.MachineType {
+	for i := range c.types {
+		if c.types[i].Name == name {
+			return &c.types[i]
+		}
+	}
+	return nil
+}
+
+// Add puts up a running machine that nobody asked for.
+func (c *Cloud) Add(typ, zone string, spot bool) string {
+	name := c.add(typ, zone, spot)
+	c.up(name)
+	return name
+}
+
+func (c *Cloud) add(typ, zone string, spot bool) string {
+	c.next++
+	name := fmt.Sprintf("n-%06d", c.next)
+	c.machines[name] = &machine{since: c.w.Now, Machine: wire.Machine{
+		Name: name, Addr: name + ":9000", Type: typ, Zone: zone, Spot: spot, State: wire.MachineBooting}}
+	return name
+}
+
+func (c *Cloud) up(name string) {
+	m := c.machines[name]
+	if m == nil || m.gone > 0 {
+		return
+	}
+	m.State = wire.MachineRunning
+	c.w.Workers[name] = newWorker(c.w, m.Machine)
+}
+
+func (c *Cloud) hire(h wire.Hire) ([]string, int) {
+	if names := c.answers[h.Request]; names != nil {
+		return names, 200
+	}
+	n := h.Count
+	if most, ok := c.Capacity[h.Type]; ok {
+		have := 0
+		for _, m := range c.machines {
+			if m.Type == h.Type && m.gone == 0 {
+				have++
+			}
+		}
+		n = min(n, most-have)
+	}
+	if n <= 0 {
+		return nil, 503
+	}
+	var names []string
+	for range n {
+		name := c.add(h.Type, h.Zone, h.Spot)
+		names = append(names, name)
+		c.Hired++
+		if c.NeverUp > 0 {
+			c.NeverUp--
+			continue
+		}
+		boot := config.Seconds(c.Type(h.Type).BootS * (0.6 + 0.9*c.w.Rand.Float64()))
+		c.w.After(boot, func() { c.up(name) })
+	}
+	c.answers[h.Request] = names
+	return names, 200
+}
+
+// Remove takes machines away, by deletion or without a word.
+func (c *Cloud) Remove(names ...string) {
+	for _, n := range names {
+		if m := c.machines[n]; m != nil && m.gone == 0 {
+			m.gone = c.w.Now
+			c.Deleted++
+			if k := c.w.Workers[n]; k != nil {
+				k.die()
+			}
+		}
+	}
+}
+
+// list shows the machines as they were a while ago.
+func (c *Cloud) list() []wire.Machine {
+	lag := config.Seconds(c.w.Set.Site.Cloud.ListLagS)
+	var out []wire.Machine
+	for _, m := range c.machines {
+		if m.since+lag > c.w.Now || m.gone > 0 && m.gone+lag <= c.w.Now {
+			continue
+		}
+		x := m.Machine
+		x.AgeS = (c.w.Now - lag - m.since).Seconds()
+		out = append(out, x)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Name < out[b].Name })
+	return out
+}
--- /dev/null
+++ b/internal/fake/users.go
@@ -0,0 +1,209 @@
+package fake
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/config"
+	"github.com/chalkhub/chalkhub/internal/core"
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// Users submit, poll and cancel, and keep the rules' checker: whatever happens
+// on a machine or is told to a user passes through here.
+type Users struct {
+	w    *World
+	jobs map[string]*Job
+	next int
+}
+
+// Job is a job as its user sees it.
+type Job struct {
+	Spec      wire.Job
+	RunS      float64
+	Mistaken  bool // fails wherever it runs
+	Accepted  bool
+	Refused   int // the final refusal's status
+	Told      string
+	Answer    wire.JobAnswer
+	aborting  bool
+	Cancelled time.Duration // when its user was told
+	done      map[int]bool
+	on        map[string]string // task -> machine
+}
+
+func newUsers(w *World) *Users { return &Users{w: w, jobs: map[string]*Job{}} }
+
+// Array describes an array job of n tasks with one CPU each, for team blue.
+func Array(n int) wire.Job {
+	return wire.Job{Class: "photos", Team: "blue", Kind: wire.KindArray, Urgency: wire.UrgencyNormal, Tasks: n,
+		CPUs: 1, MemoryGB: 1, Image: "img", ImageGB: 0.5, Spot: true, EstimateS: 10}
+}
+
+// Submit hands in a job whose tasks run for runS, again and again until it is
+// answered; change may alter it first.
+func (u *Users) Submit(spec wire.Job, runS float64) *Job {
+	u.next++
+	if spec.ID == "" {
+		spec.ID = fmt.Sprintf("job-%06d", u.next)
+	}
+	j := &Job{Spec: spec, RunS: runS, done: map[int]bool{}, on: map[string]string{}}
+	u.jobs[spec.ID] = j
+	u.send(j)
+	return j
+}
+
+// ask sends a request to some live node, as a load balancer would.
+func (u *Users) ask(build func(core.RequestID) core.Command, got func(core.Reply)) {
+	w := u.w
+	start := w.Rand.IntN(len(w.Nodes))
+	for i := range w.Nodes {
+		n := w.Nodes[(start+i)%len(w.Nodes)]
+		if n.Alive() && n.Ready {
+			call(w, "users", n.Label, 5*time.Second, func(reply func(core.Reply)) { n.Ask(build, reply) }, got,
+				func() { got(core.Reply{}) })
+			return
+		}
+	}
+	w.After(time.Second, func() { got(core.Reply{}) })
+}
+
+func (u *Users) send(j *Job) {
+	u.ask(func(id core.RequestID) core.Command { return core.Submit{ID: id, Job: j.Spec} }, func(r core.Reply) {
+		switch r.Status {
+		case 200, 201:
+			j.Accepted = true
+			u.hear(j, r.Body.(wire.JobAnswer))
+			u.w.After(time.Second, func() { u.poll(j) })
+		case 400, 422:
+			if j.Accepted {
+				u.w.broke("forgotten", "%s was accepted and then refused with %d", j.Spec.ID, r.Status)
+			}
+			j.Refused = r.Status
+		default:
+			u.w.After(time.Second, func() { u.send(j) })
+		}
+	})
+}
+
+// Resubmit hands the same job in once more.
+func (u *Users) Resubmit(j *Job) { u.send(j) }
+
+func (u *Users) poll(j *Job) {
+	u.ask(func(id core.RequestID) core.Command { return core.Query{ID: id, Job: j.Spec.ID} }, func(r core.Reply) {
+		switch r.Status {
+		case 200:
+			u.hear(j, r.Body.(wire.JobAnswer))
+		case 404:
+			u.w.broke("forgotten", "%s is answered 404", j.Spec.ID)
+		}
+		u.w.After(3*time.Second, func() { u.poll(j) })
+	})
+}
+
+// Abort cancels a job, again and again until that is confirmed.
+func (u *Users) Abort(j *Job) {
+	j.aborting = true
+	u.ask(func(id core.RequestID) core.Command { return core.Abort{ID: id, Job: j.Spec.ID} }, func(r core.Reply) {
+		if r.Status != 200 {
+			u.w.After(time.Second, func() { u.Abort(j) })
+			return
+		}
+		u.hear(j, r.Body.(wire.JobAnswer))
+	})
+}
+
+// hear takes what a node says of a job.
+func (u *Users) hear(j *Job, a wire.JobAnswer) {
+	final := func(s string) bool { return s == wire.JobDone || s == wire.JobCancelled }
+	if final(j.Told) && a.State != j.Told {
+		u.w.broke("went_back", "%s was %s and is called %s", j.Spec.ID, j.Told, a.State)
+	}
+	if a.State == wire.JobCancelled && !j.aborting {
+		u.w.broke("went_back", "%s is called cancelled, its user did not cancel it", j.Spec.ID)
+	}
+	if a.State == wire.JobDone && len(j.done) < j.Spec.Tasks {
+		u.w.broke("not_done", "%s is called done with %d of %d tasks", j.Spec.ID, len(j.done), j.Spec.Tasks)
+	}
+	if a.State == wire.JobCancelled && j.Told != wire.JobCancelled {
+		j.Cancelled = u.w.Now
+		u.w.After(config.Seconds(u.w.Set.Site.Workers.CancelS), func() {
+			for task, m := range j.on {
+				u.w.broke("ran_cancelled", "%s is still on %s", task, m)
+			}
+		})
+	}
+	j.Told, j.Answer = a.State, a
+}
+
+// arrived and left follow the tasks on their machines.
+func (u *Users) arrived(k *Worker, t *Task) {
+	j := t.job
+	if m, ok := j.on[t.Name]; ok {
+		u.w.broke("ran_twice", "%s starts on %s while it is on %s", t.Name, k.Info.Name, m)
+	}
+	if j.Cancelled > 0 && u.w.Now > j.Cancelled+config.Seconds(u.w.Set.Site.Workers.CancelS) {
+		u.w.broke("ran_cancelled", "%s starts", t.Name)
+	}
+	j.on[t.Name] = k.Info.Name
+	u.checkPlace(k, t)
+	u.checkQuota(j.Spec.Team)
+}
+
+func (u *Users) left(k *Worker, t *Task) {
+	if t.job != nil && t.on() && t.job.on[t.Name] == k.Info.Name {
+		delete(t.job.on, t.Name)
+	}
+}
+
+func (u *Users) checkPlace(k *Worker, t *Task) {
+	s := &t.job.Spec
+	bad := s.Zone != "" && s.Zone != k.Info.Zone || k.Info.Spot && !s.Spot
+	if len(s.Types) > 0 {
+		ok := false
+		for _, x := range s.Types {
+			ok = ok || x == k.Info.Type
+		}
+		bad = bad || !ok
+	}
+	zones := map[string]int{}
+	for _, m := range t.job.on {
+		if w := u.w.Workers[m]; w != nil {
+			zones[w.Info.Zone]++
+		}
+	}
+	bad = bad || s.OneZone && len(zones) > 1 || s.Spread && zones[k.Info.Zone] > (s.Tasks+1)/2
+	if bad {
+		u.w.broke("wrong_place", "%s on %s (%s, %s, spot %v)", t.Name, k.Info.Name, k.Info.Type, k.Info.Zone, k.Info.Spot)
+	}
+}
+
+func (u *Users) checkQuota(team string) {
+	var cpus float64
+	for _, j := range u.jobs {
+		if j.Spec.Team == team {
+			cpus += j.Spec.CPUs * float64(len(j.on))
+		}
+	}
+	for _, t := range u.w.Set.Site.Teams {
+		if t.Name == team && t.CPUsMax > 0 && cpus > t.CPUsMax+1e-6 {
+			u.w.broke("quota", "team %s uses %g of %g CPUs", team, cpus, t.CPUsMax)
+		}
+	}
+}
+
+// AllTold reports whether every accepted job's user knows that it is over.
+func (u *Users) AllTold() bool {
+	for _, j := range u.jobs {
+		if j.Refused == 0 && j.Told != wire.JobDone && j.Told != wire.JobCancelled {
+			return false
+		}
+	}
+	return true
+}
+
+// On is the machine that a task is on, or empty.
+func (j *Job) On(i int) string { return j.on[wire.TaskName(j.Spec.ID, i)] }
+
+// Running is how many tasks are on machines.
+func (j *Job) Running() int { return len(j.on) }
--- /dev/null
+++ b/internal/fake/worker.go
@@ -0,0 +1,335 @@
+package fake
+
+import (
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/config"
+	"github.com/chalkhub/chalkhub/internal/core"
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// Worker is the agent on a machine.
+type Worker struct {
+	w       *World
+	Info    wire.Machine
+	Faulty  bool // every task it starts fails
+	Hung    bool // does nothing until it resumes
+	dead    bool
+	rate    float64
+	session uint64
+	seq     uint64
+	token   uint64
+	Tasks   []*Task
+	images  map[string]bool
+	node    int
+	flying  bool
+	again   bool // something changed while a report was under way
+	lastOK  time.Duration
+	lastRep time.Duration
+	timer   uint64
+	NoticeS *float64
+}
+
+// Task is an attempt on a machine.
+type Task struct {
+	Name    string
+	Attempt uint64
+	State   string
+	Why     string
+	Saved   bool
+	job     *Job
+	index   int
+}
+
+// on reports whether the task counts as being on its machine.
+func (t *Task) on() bool { return t.State == wire.TaskRunning || t.State == wire.TaskSaving }
+
+func (t *Task) takesRoom() bool { return t.State != wire.TaskExited }
+
+func newWorker(w *World, m wire.Machine) *Worker {
+	k := &Worker{w: w, Info: m, session: 1, images: map[string]bool{}, lastOK: w.Now, lastRep: -time.Hour,
+		rate: 1 + (w.Rand.Float64()*2-1)*0.00025, node: w.Rand.IntN(len(w.Nodes))}
+	k.report()
+	k.watchLease()
+	return k
+}
+
+func (k *Worker) die() {
+	k.dead = true
+	for _, t := range k.Tasks {
+		k.w.Users.left(k, t)
+	}
+	k.Tasks = nil
+	delete(k.w.Workers, k.Info.Name)
+}
+
+func (k *Worker) span(d time.Duration) time.Duration { return time.Duration(float64(d) / k.rate) }
+
+func (k *Worker) lease() time.Duration { return k.span(config.Seconds(k.w.Set.Site.Workers.LeaseS)) }
+
+func (k *Worker) watchLease() {
+	if k.dead {
+		return
+	}
+	// A hung machine too: it may resume within its lease, not after it.
+	if k.w.Now-k.lastOK > k.lease() {
+		for _, t := range k.Tasks {
+			k.w.Users.left(k, t)
+		}
+		k.Tasks = nil
+		k.session++
+		k.lastOK = k.w.Now
+		k.changed()
+	}
+	k.w.After(100*time.Millisecond, k.watchLease)
+}
+
+// message is the worker's report, as of now.
+func (k *Worker) message() wire.Report {
+	k.seq++
+	r := wire.Report{
+		Machine: k.Info.Name, Addr: k.Info.Addr, Type: k.Info.Type, Zone: k.Info.Zone, Spot: k.Info.Spot,
+		Session: k.session, Seq: k.seq, Token: k.token, NoticeS: k.NoticeS, Tasks: []wire.TaskReport{},
+	}
+	for _, t := range k.Tasks {
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.Name, Attempt: t.Attempt, State: t.State, Why: t.Why, Saved: t.Saved})
+	}
+	return r
+}
+
+func (k *Worker) changed() {
+	if k.flying {
+		k.again = true
+		return
+	}
+	k.schedule(max(k.lastRep+500*time.Millisecond-k.w.Now, 0))
+}
+
+func (k *Worker) schedule(d time.Duration) {
+	k.timer++
+	id := k.timer
+	k.w.After(d, func() {
+		if id == k.timer && !k.dead {
+			k.report()
+		}
+	})
+}
+
+func (k *Worker) report() {
+	if k.dead || k.flying {
+		return
+	}
+	if k.Hung {
+		k.schedule(time.Second)
+		return
+	}
+	k.flying, k.again = true, false
+	k.lastRep = k.w.Now
+	sent, session := k.w.Now, k.session
+	rep := k.message()
+	node := k.w.Nodes[k.node]
+	next := func(d time.Duration) {
+		k.flying = false
+		if k.again {
+			d = max(k.lastRep+500*time.Millisecond-k.w.Now, 0)
+		}
+		k.schedule(d)
+	}
+	elsewhere := func() {
+		k.node = (k.node + 1) % len(k.w.Nodes)
+		next(time.Second)
+	}
+	call(k.w, k.Info.Name, node.Label, 4*time.Second, func(reply func(core.Reply)) {
+		node.Ask(func(id core.RequestID) core.Command { return core.WorkerReport{ID: id, Report: rep} }, reply)
+	}, func(r core.Reply) {
+		if k.dead {
+			return
+		}
+		if k.Hung {
+			elsewhere()
+			return
+		}
+		switch body := r.Body.(type) {
+		case wire.ReportAnswer:
+			if session == k.session && body.Token >= k.token && k.w.Now-sent < 4*time.Second {
+				raised := body.Token > k.token
+				k.token = body.Token
+				k.lastOK = max(k.lastOK, sent)
+				if k.execute(body.Commands) || raised {
+					k.again = true
+				}
+			}
+			report := config.Seconds(k.w.Set.Site.Workers.ReportS)
+			next(k.span(time.Duration(float64(report) * (0.75 + k.w.Rand.Float64()/2))))
+			return
+		case wire.Redirect:
+			for i, n := range k.w.Nodes {
+				if n.Label == body.ReportTo && i != k.node {
+					k.node = i
+					next(time.Duration(k.w.Rand.Int64N(int64(500 * time.Millisecond))))
+					return
+				}
+			}
+		}
+		elsewhere()
+	}, elsewhere)
+}
+
+func (k *Worker) do(d wire.Do, answer func(int, wire.Report)) {
+	if k.dead {
+		return
+	}
+	if k.Hung {
+		k.w.After(time.Second, func() { k.do(d, answer) })
+		return
+	}
+	if d.Token < k.token || d.Session != k.session {
+		if d.Token > k.token {
+			k.token = d.Token
+		}
+		answer(409, k.message())
+		return
+	}
+	k.token = d.Token
+	if k.execute(d.Commands) {
+		k.changed()
+	}
+	answer(200, k.message())
+}
+
+// execute carries out commands in order and reports whether anything changed.
+func (k *Worker) execute(cmds []wire.Command) bool {
+	some := false
+	for _, c := range cmds {
+		switch c.Op {
+		case wire.OpStart:
+			some = k.start(c) || some
+		case wire.OpStop:
+			for _, t := range k.Tasks {
+				if t.Name == c.Task && t.Attempt == c.Attempt && t.State != wire.TaskExited {
+					k.stop(t, c.GraceS)
+					some = true
+				}
+			}
+		case wire.OpForget:
+			kept := k.Tasks[:0]
+			for _, t := range k.Tasks {
+				if t.Name == c.Task && t.Attempt == c.Attempt && t.State == wire.TaskExited {
+					some = true
+					continue
+				}
+				kept = append(kept, t)
+			}
+			k.Tasks = kept
+		}
+	}
+	return some
+}
+
+func (k *Worker) start(c wire.Command) bool {
+	u := k.w.Users
+	t := &Task{Name: c.Task, Attempt: c.Attempt, State: wire.TaskFetching}
+	for _, x := range k.Tasks {
+		if x.Name == c.Task {
+			if x.Attempt == c.Attempt {
+				return false
+			}
+			if x.takesRoom() {
+				t.State, t.Why = wire.TaskExited, wire.WhyBusy
+			}
+		}
+	}
+	ref, i, err := wire.ParseTask(c.Task)
+	t.job, t.index = u.jobs[ref], i
+	if err != nil || t.job == nil || i >= t.job.Spec.Tasks {
+		t.State, t.Why = wire.TaskExited, wire.WhyUnknown
+	}
+	if t.State == wire.TaskFetching && !k.room(&t.job.Spec) {
+		t.State, t.Why = wire.TaskExited, wire.WhyNoRoom
+	}
+	k.Tasks = append(k.Tasks, t)
+	if t.State != wire.TaskFetching {
+		return true
+	}
+	fetch := time.Duration(0)
+	if s := &t.job.Spec; !k.images[s.Image] {
+		fetch = config.Seconds(s.ImageGB / k.w.Cloud.Type(k.Info.Type).FetchGBps)
+	}
+	k.later(t, fetch, func() {
+		if t.State != wire.TaskFetching {
+			return
+		}
+		k.images[t.job.Spec.Image] = true
+		t.State = wire.TaskRunning
+		u.arrived(k, t)
+		k.changed()
+		run := config.Seconds(t.job.RunS)
+		if t.job.done[t.index] {
+			run = 0
+		}
+		switch {
+		case k.Faulty || t.job.Mistaken:
+			k.later(t, 500*time.Millisecond, func() { k.exit(t, wire.WhyError) })
+		case t.job.Spec.Kind != wire.KindService:
+			k.later(t, run, func() { k.exit(t, wire.WhyDone) })
+		}
+	})
+	return true
+}
+
+// later runs f if the task is still here by then.
+func (k *Worker) later(t *Task, d time.Duration, f func()) {
+	k.w.After(d, func() {
+		if k.Hung {
+			k.later(t, time.Second, f)
+			return
+		}
+		for _, x := range k.Tasks {
+			if x == t && !k.dead {
+				f()
+				return
+			}
+		}
+	})
+}
+
+func (k *Worker) exit(t *Task, why string) {
+	if t.State == wire.TaskExited {
+		return
+	}
+	k.w.Users.left(k, t)
+	t.State, t.Why = wire.TaskExited, why
+	if why == wire.WhyDone && t.job != nil {
+		t.job.done[t.index] = true
+	}
+	k.changed()
+}
+
+func (k *Worker) stop(t *Task, grace float64) {
+	s := t.job
+	if t.State == wire.TaskRunning && s != nil && s.Spec.CheckpointS > 0 && grace >= s.Spec.SaveS {
+		t.State = wire.TaskSaving
+		k.later(t, config.Seconds(s.Spec.SaveS), func() { t.Saved = true; k.exit(t, wire.WhyStopped) })
+		return
+	}
+	k.exit(t, wire.WhyStopped)
+}
+
+func (k *Worker) room(s *wire.Job) bool {
+	mt := k.w.Cloud.Type(k.Info.Type)
+	cpus, gpus, mem := mt.CPUs, mt.GPUs, mt.MemoryGB
+	for _, t := range k.Tasks {
+		if t.takesRoom() && t.job != nil {
+			cpus -= t.job.Spec.CPUs
+			gpus -= t.job.Spec.GPUs
+			mem -= t.job.Spec.MemoryGB
+		}
+	}
+	return cpus >= s.CPUs-1e-9 && gpus >= s.GPUs-1e-9 && mem >= s.MemoryGB-1e-9
+}
+
+// Force makes the worker start a task that nobody commanded, for the story that
+// checks the checker.
+func (k *Worker) Force(task string, attempt uint64) {
+	k.execute([]wire.Command{{Op: wire.OpStart, Task: task, Attempt: attempt}})
+}
--- /dev/null
+++ b/internal/fake/world.go
@@ -0,0 +1,503 @@
+// Package fake stands in for everything outside a controller: the state
+// service, the cloud, the workers, the network and the clock, all in memory and
+// in simulated time. Given the same seed, a story always goes the same way.
+package fake
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/config"
+	"github.com/chalkhub/chalkhub/internal/core"
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// World is a whole deployment.
+type World struct {
+	Now     time.Duration
+	Rand    *rand.Rand
+	Set     config.Settings
+	Policy  config.Policy
+	State   *State
+	Cloud   *Cloud
+	Nodes   []*Node
+	Workers map[string]*Worker
+	Users   *Users
+	Broken  []string      // rules that were broken, and how
+	Latency time.Duration // one way
+	// Loss is the share of calls whose request or answer is lost.
+	Loss float64
+	// Logs keeps the nodes' log lines, for a story that asks for them.
+	Logs []string
+
+	cuts   map[string]bool
+	held   map[string][]func() // packets kept by a cut
+	keep   bool
+	events eventHeap
+	seq    uint64
+	peers  map[uint64]*peerLink
+	linkID uint64
+}
+
+// Settings describes a small deployment with n controllers.
+func Settings(n int) config.Settings {
+	var s config.Settings
+	s.Site = config.Site{
+		InitialSize: n, Zones: []string{"a", "b"},
+		Teams:     []config.Team{{Name: "red", CPUs: 8, CPUsMax: 24}, {Name: "blue", CPUs: 8}},
+		Workers:   config.Workers{ReportS: 2, LeaseS: 16, GangWaitS: 20, GangPeerS: 5, CancelS: 45},
+		State:     config.State{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 16},
+		Cloud:     config.Cloud{RPS: 8, ListLagS: 4},
+		Resources: config.Resources{Cores: 0.2, RAMMB: 128, MaxSockets: 1000},
+	}
+	for i := range n {
+		s.Siblings = append(s.Siblings, config.Sibling{Label: label(i), Address: fmt.Sprintf("10.0.0.%d:1", i+1)})
+	}
+	return s
+}
+
+func label(i int) string { return fmt.Sprintf("node-%d", i) }
+
+// Types is what the fake cloud rents.
+func Types() []wire.MachineType {
+	return []wire.MachineType{
+		{Name: "box", CPUs: 4, MemoryGB: 16, CacheGB: 40, FetchGBps: 0.5, Price: 0.2, SpotPrice: 0.05, BootS: 10, Zones: []string{"a", "b"}},
+		{Name: "barn", CPUs: 16, GPUs: 2, MemoryGB: 64, CacheGB: 40, FetchGBps: 1, Price: 0.7, SpotPrice: 0.2, BootS: 10, Zones: []string{"a"}},
+	}
+}
+
+// New makes a world with n controllers and starts them.
+func New(seed uint64, n int) *World {
+	w := &World{
+		Rand: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), Set: Settings(n), Policy: config.DefaultPolicy(),
+		Workers: map[string]*Worker{}, Latency: 2 * time.Millisecond,
+		cuts: map[string]bool{}, held: map[string][]func(){}, peers: map[uint64]*peerLink{},
+	}
+	w.State = newState(w)
+	w.Cloud = newCloud(w, Types())
+	w.Users = newUsers(w)
+	for i := range n {
+		nd := &Node{w: w, Label: label(i), rate: 1 + (w.Rand.Float64()*2-1)*0.00025}
+		w.Nodes = append(w.Nodes, nd)
+		nd.Start()
+	}
+	return w
+}
+
+// At runs f at a moment of simulated time.
+func (w *World) At(t time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.events, event{at: max(t, w.Now), seq: w.seq, f: f})
+}
+
+// After runs f after a span of simulated time.
+func (w *World) After(d time.Duration, f func()) { w.At(w.Now+d, f) }
+
+// Run lets simulated time pass up to t.
+func (w *World) Run(t time.Duration) {
+	for len(w.events) > 0 && w.events[0].at <= t {
+		e := heap.Pop(&w.events).(event)
+		w.Now = e.at
+		e.f()
+	}
+	w.Now = t
+}
+
+// Until runs until cond holds, at most up to t, and reports whether it does.
+func (w *World) Until(t time.Duration, cond func() bool) bool {
+	for !cond() {
+		if len(w.events) == 0 || w.events[0].at > t {
+			return false
+		}
+		e := heap.Pop(&w.events).(event)
+		w.Now = e.at
+		e.f()
+	}
+	return true
+}
+
+func (w *World) broke(rule, format string, args ...any) {
+	w.Broken = append(w.Broken, fmt.Sprintf("%.3f %s: %s", w.Now.Seconds(), rule, fmt.Sprintf(format, args...)))
+}
+
+func (w *World) delay() time.Duration {
+	return w.Latency/2 + time.Duration(w.Rand.Int64N(int64(w.Latency)+1))
+}
+
+// Cut silences the path between two ends ("node-0", "state", "workers",
+// "cloud", a machine's name or "nodes" for the peer links). With keep, packets
+// are held and delivered when the cut is mended.
+func (w *World) Cut(a, b string, keep bool) {
+	w.cuts[a+" "+b], w.cuts[b+" "+a] = true, true
+	w.keep = keep
+	for _, l := range w.peers {
+		if w.isCut(l.a.Label, l.b.Label) {
+			l.silent = true
+		}
+	}
+}
+
+// Mend ends a cut and lets held packets go, in order.
+func (w *World) Mend(a, b string) {
+	for _, k := range []string{a + " " + b, b + " " + a} {
+		delete(w.cuts, k)
+		for _, f := range w.held[k] {
+			w.After(w.delay(), f)
+		}
+		delete(w.held, k)
+	}
+	for _, l := range w.peers {
+		if l.silent && !w.isCut(l.a.Label, l.b.Label) {
+			l.close()
+		}
+	}
+}
+
+func (w *World) isCut(a, b string) bool { return w.cuts[a+" "+b] }
+
+// group is the name under which all machines are cut off together.
+func group(end string) string {
+	if strings.HasPrefix(end, "n-") {
+		return "workers"
+	}
+	return end
+}
+
+// call carries a request from one end to the other and its answer back. serve
+// runs at the far end and gets a function to answer with; fail runs if no
+// answer came in time.
+func call[T any](w *World, from, to string, timeout time.Duration, serve func(reply func(T)), got func(T), fail func()) {
+	over := false
+	w.After(timeout, func() {
+		if !over {
+			over = true
+			fail()
+		}
+	})
+	send := func(key string, f func()) {
+		if w.cuts[key] {
+			if w.keep {
+				w.held[key] = append(w.held[key], f)
+			}
+			return
+		}
+		if w.Loss > 0 && w.Rand.Float64() < w.Loss {
+			return
+		}
+		w.After(w.delay(), f)
+	}
+	there, back := from+" "+to, to+" "+from
+	if all := group(from) + " " + group(to); w.cuts[all] {
+		there, back = all, group(to)+" "+group(from)
+	}
+	send(there, func() {
+		serve(func(t T) {
+			send(back, func() {
+				if !over {
+					over = true
+					got(t)
+				}
+			})
+		})
+	})
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	f   func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// Node is a controller: a real core whose effects the world carries out.
+type Node struct {
+	w       *World
+	Label   string
+	Core    *core.Core
+	Ready   bool
+	rate    float64 // of its steady clock
+	life    int
+	started time.Duration
+	queue   []core.Command
+	woken   bool
+	wakeAt  time.Duration
+	nextReq core.RequestID
+	waiting map[core.RequestID]func(core.Reply)
+	target  string
+}
+
+// Start starts the process.
+func (n *Node) Start() {
+	n.life++
+	set := n.w.Set
+	set.Label = n.Label
+	set.Siblings = nil
+	for _, s := range n.w.Set.Siblings {
+		if s.Label != n.Label {
+			set.Siblings = append(set.Siblings, s)
+		}
+	}
+	n.Core = core.New(&set, n.w.Policy, fmt.Sprintf("%s.%d", n.Label, n.life), false)
+	n.started = n.w.Now
+	n.waiting = map[core.RequestID]func(core.Reply){}
+	n.queue, n.woken, n.target = nil, false, ""
+	n.wake(0)
+}
+
+// Crash ends the process, and starts it again after a while if that is above 0.
+func (n *Node) Crash(back time.Duration) {
+	n.life++
+	n.Core, n.Ready = nil, false
+	for _, l := range n.w.peers {
+		if l.a == n || l.b == n {
+			l.close()
+		}
+	}
+	if back > 0 {
+		n.w.After(back, n.Start)
+	}
+}
+
+// Alive reports whether the process runs.
+func (n *Node) Alive() bool { return n.Core != nil }
+
+func (n *Node) clock() time.Duration {
+	return time.Duration(float64(n.w.Now-n.started) * n.rate)
+}
+
+// inLife wraps f so that it is lost if the process has ended meanwhile.
+func (n *Node) inLife(f func()) func() {
+	life := n.life
+	return func() {
+		if n.life == life && n.Core != nil {
+			f()
+		}
+	}
+}
+
+// Post hands a command to the core.
+func (n *Node) Post(c core.Command) {
+	if n.Core == nil {
+		return
+	}
+	n.queue = append(n.queue, c)
+	n.wake(0)
+}
+
+// wake calls the core after d; an earlier call replaces a later one.
+func (n *Node) wake(d time.Duration) {
+	if at := n.w.Now + d; !n.woken || at < n.wakeAt {
+		n.woken, n.wakeAt = true, at
+		n.w.At(at, n.inLife(func() {
+			if n.woken && n.wakeAt == at {
+				n.step()
+			}
+		}))
+	}
+}
+
+func (n *Node) step() {
+	n.woken = false
+	cmds := n.queue
+	n.queue = nil
+	now := core.Now{Steady: n.clock(), Wall: 1e9 + n.w.Now.Seconds()}
+	effects := append([]core.Effect(nil), n.Core.Apply(now, cmds)...)
+	for _, e := range effects {
+		n.perform(e)
+	}
+	n.wake(max(n.Core.Next()-n.clock(), 5*time.Millisecond))
+}
+
+// Ask posts a request and calls back with its reply.
+func (n *Node) Ask(build func(core.RequestID) core.Command, got func(core.Reply)) {
+	if n.Core == nil {
+		return
+	}
+	n.nextReq++
+	n.waiting[n.nextReq] = got
+	n.Post(build(n.nextReq))
+}
+
+func (n *Node) perform(e core.Effect) {
+	w := n.w
+	post := func(c core.Command) { n.Post(c) }
+	sent := n.clock()
+	life := n.life
+	mine := func(f func()) func() {
+		return func() {
+			if n.life == life && n.Core != nil {
+				f()
+			}
+		}
+	}
+	const timeout = time.Second
+	switch e := e.(type) {
+	case core.Reply:
+		if f := n.waiting[e.ID]; f != nil {
+			delete(n.waiting, e.ID)
+			f(e)
+		}
+	case core.Log:
+		w.Logs = append(w.Logs, fmt.Sprintf("%.3f %s %s %v", w.Now.Seconds(), n.Label, e.Text, e.Args))
+	case core.Ready:
+		n.Ready = e.Yes
+	case core.Commit:
+		call(w, n.Label, "state", timeout, func(reply func(core.CommitDone)) {
+			status, ans := w.State.Commit(n.Label, e.Txn)
+			reply(core.CommitDone{ID: e.ID, Status: status, Answer: ans})
+		}, func(d core.CommitDone) { mine(func() { post(d) })() }, mine(func() { post(core.CommitDone{ID: e.ID}) }))
+	case core.Load:
+		call(w, n.Label, "state", timeout, func(reply func(core.LoadDone)) {
+			reply(w.State.load(n.Label, sent))
+		}, func(d core.LoadDone) { mine(func() { post(d) })() }, mine(func() { post(core.LoadDone{}) }))
+	case core.Follow:
+		call(w, n.Label, "state", timeout+e.Hold, func(reply func(core.FollowDone)) {
+			w.State.follow(n.Label, e, func(status int, ev wire.Events) {
+				reply(core.FollowDone{Barrier: e.Barrier, Sent: sent, Status: status, Answer: ev})
+			})
+		}, func(d core.FollowDone) { mine(func() { post(d) })() }, mine(func() { post(core.FollowDone{Barrier: e.Barrier, Sent: sent}) }))
+	case core.Lease:
+		call(w, n.Label, "state", timeout, func(reply func(core.LeaseDone)) {
+			id, status := w.State.lease(n.Label, e)
+			reply(core.LeaseDone{Sent: sent, Lease: id, Status: status})
+		}, func(d core.LeaseDone) { mine(func() { post(d) })() }, mine(func() { post(core.LeaseDone{Sent: sent}) }))
+	case core.Do:
+		call(w, n.Label, e.Machine, config.Seconds(w.Set.Site.Workers.ReportS), func(reply func(core.DoDone)) {
+			if k := w.Workers[e.Machine]; k != nil {
+				k.do(e.Body, func(status int, r wire.Report) {
+					reply(core.DoDone{Machine: e.Machine, ID: e.ID, Status: status, Report: r})
+				})
+			}
+		}, func(d core.DoDone) { mine(func() { post(d) })() }, mine(func() { post(core.DoDone{Machine: e.Machine, ID: e.ID}) }))
+	case core.Types:
+		call(w, n.Label, "cloud", timeout, func(reply func(core.TypesDone)) {
+			reply(core.TypesDone{Status: 200, Answer: wire.MachineTypes{Types: w.Cloud.types}})
+		}, func(d core.TypesDone) { mine(func() { post(d) })() }, mine(func() { post(core.TypesDone{}) }))
+	case core.List:
+		call(w, n.Label, "cloud", timeout, func(reply func(core.ListDone)) {
+			reply(core.ListDone{Status: 200, Machines: w.Cloud.list()})
+		}, func(d core.ListDone) { mine(func() { post(d) })() }, mine(func() { post(core.ListDone{}) }))
+	case core.Hire:
+		call(w, n.Label, "cloud", timeout, func(reply func(core.HireDone)) {
+			names, status := w.Cloud.hire(e.Request)
+			reply(core.HireDone{Request: e.Request.Request, Status: status, Names: names})
+		}, func(d core.HireDone) { mine(func() { post(d) })() }, mine(func() { post(core.HireDone{Request: e.Request.Request}) }))
+	case core.Delete:
+		call(w, n.Label, "cloud", timeout, func(reply func(core.DeleteDone)) {
+			w.Cloud.Remove(e.Names...)
+			reply(core.DeleteDone{Names: e.Names, Status: 200})
+		}, func(d core.DeleteDone) { mine(func() { post(d) })() }, mine(func() { post(core.DeleteDone{Names: e.Names}) }))
+	case core.PeerTarget:
+		n.target = e.Label
+		for _, l := range w.peers {
+			if l.a == n && l.b.Label != e.Label {
+				l.close()
+			}
+		}
+		n.dial()
+	case core.PeerSend:
+		if l := w.peers[e.Session]; l != nil {
+			l.send(n, e.Message)
+		}
+	case core.PeerClose:
+		if l := w.peers[e.Session]; l != nil {
+			l.close()
+		}
+	default:
+		panic(fmt.Sprintf("fake: effect %T", e))
+	}
+}
+
+// peerLink is a link from a, who dialled, to b.
+type peerLink struct {
+	w      *World
+	id     uint64
+	a, b   *Node
+	silent bool
+	last   time.Duration // when the newest packet arrives: order is kept
+}
+
+func (n *Node) dial() {
+	w := n.w
+	again := n.inLife(n.dial)
+	for _, l := range w.peers {
+		if l.a == n && l.b.Label == n.target {
+			return
+		}
+	}
+	for _, b := range w.Nodes {
+		if b.Label == n.target && n.target != "" {
+			if !b.Alive() || w.isCut(n.Label, b.Label) {
+				w.After(200*time.Millisecond, again)
+				return
+			}
+			w.linkID++
+			l := &peerLink{w: w, id: w.linkID, a: n, b: b}
+			w.peers[l.id] = l
+			n.Post(core.PeerUp{Session: l.id, Label: b.Label})
+			b.Post(core.PeerUp{Session: l.id})
+		}
+	}
+}
+
+func (l *peerLink) send(from *Node, m wire.PeerMessage) {
+	if l.silent {
+		return
+	}
+	to := l.a
+	if from == l.a {
+		to = l.b
+	}
+	l.last = max(l.last, l.w.Now+l.w.delay())
+	l.w.At(l.last, to.inLife(func() {
+		if l.w.peers[l.id] == l && !l.silent {
+			to.Post(core.PeerLine{Session: l.id, Message: m})
+		}
+	}))
+}
+
+func (l *peerLink) close() {
+	w := l.w
+	if w.peers[l.id] != l {
+		return
+	}
+	delete(w.peers, l.id)
+	l.a.Post(core.PeerDown{Session: l.id})
+	l.b.Post(core.PeerDown{Session: l.id})
+	if l.a.Alive() {
+		w.After(200*time.Millisecond, l.a.inLife(l.a.dial))
+	}
+}
+
+// SomeWorkers draws up to n workers.
+func (w *World) SomeWorkers(n int) []*Worker {
+	var names []string
+	for name := range w.Workers {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	w.Rand.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
+	var out []*Worker
+	for _, name := range names[:min(n, len(names))] {
+		out = append(out, w.Workers[name])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,70 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/core"
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// Two nodes on loopback: lines arrive, a broken link comes back as a new one,
+// and a browser gets the status page from the same port.
+func TestLinkAndStatusPage(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make(chan core.Command, 16)
+	page := func() ([]byte, bool) { return []byte(`{"label":"b"}`), true }
+	b := New(nil, 10*time.Millisecond, time.Second, func(c core.Command) { got <- c }, page)
+	go b.Serve(ctx, ln)
+
+	sent := make(chan core.Command, 16)
+	a := New(map[string]string{"b": ln.Addr().String()}, 10*time.Millisecond, time.Second, func(c core.Command) { sent <- c }, page)
+	a.Target("b")
+	up := next[core.PeerUp](t, sent)
+	a.Send(core.PeerSend{Session: up.Session, Message: wire.PeerMessage{Hello: &wire.Hello{Label: "a", Boot: "1"}}})
+	there := next[core.PeerUp](t, got)
+	line := next[core.PeerLine](t, got)
+	if line.Session != there.Session || line.Message.Hello.Label != "a" {
+		t.Fatalf("%+v", line)
+	}
+	b.Close(there.Session)
+	next[core.PeerDown](t, sent)
+	if again := next[core.PeerUp](t, sent); again.Session == up.Session {
+		t.Fatal("a new link has the number of the old one")
+	}
+
+	conn, err := net.Dial("tcp4", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	io.WriteString(conn, "GET / HTTP/1.1\r\n\r\n")
+	body, _ := io.ReadAll(conn)
+	if !strings.HasSuffix(string(body), `{"label":"b"}`) {
+		t.Fatalf("status page: %q", body)
+	}
+}
+
+func next[T core.Command](t *testing.T, ch chan core.Command) T {
+	t.Helper()
+	timeout := time.After(5 * time.Second)
+	for {
+		select {
+		case c := <-ch:
+			if x, ok := c.(T); ok {
+				return x
+			}
+		case <-timeout:
+			t.Fatalf("no %T came", *new(T))
+		}
+	}
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -39,15 +39,11 @@
 
 // Decode reads one value and refuses trailing bytes.
 func Decode(b []byte, v any) error {
-	r := bytes.NewReader(b)
-	dec := msgpack.GetDecoder()
-	defer msgpack.PutDecoder(dec)
-	dec.Reset(r)
-	if err := dec.Decode(v); err != nil {
+	if err := whole(b); err != nil {
 		return err
 	}
-	if r.Len() > 0 {
-		return ErrTrailing
-	}
-	return nil
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
+	dec.Reset(bytes.NewReader(b))
+	return dec.Decode(v)
 }
--- a/internal/wire/users.go
+++ b/internal/wire/users.go
@@ -1,13 +1,10 @@
 package wire
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"math"
 	"regexp"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Kinds of job.
@@ -82,18 +79,13 @@
 // DecodeJob reads a submission strictly: every field must be there with its
 // type, apart from those that may be null.
 func DecodeJob(b []byte) (Job, error) {
-	r := bytes.NewReader(b)
-	dec := msgpack.NewDecoder(r)
-	m, err := dec.DecodeMap()
-	if err != nil {
+	var m map[string]any
+	if err := Decode(b, &m); err != nil {
 		return Job{}, fmt.Errorf("body: %w", err)
 	}
 	if m == nil {
 		return Job{}, errors.New("body: not a map")
 	}
-	if r.Len() > 0 {
-		return Job{}, ErrTrailing
-	}
 	f := fields{m: m}
 	j := Job{
 		ID:          f.text("Ref"),
