Two tiers of demand: cheap machines soon, ordinary ones for work due

Cause: at the opening burst 15 ordinary machines were hired and kept while cheap ones went back, since only idle machines were returned and images decided the placement. Ruled out: boot patience, image order.

--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -20,6 +20,7 @@
 	SpotShare      float64 // largest share of the CPUs on cheap machines
 	IdleBoots      float64 // an idle machine is kept for this many boot times
 	HorizonShare   float64 // share of an aim's time in which queued work should be done
+	SoonBoots      float64 // queued work should be done within this many boot times, on cheap machines
 	BootPatience   float64 // a boot is given up after this many boot times
 }
 
@@ -32,7 +33,8 @@
 		ProgressShare:  0.4,
 		SpotShare:      1,
 		IdleBoots:      0.5,
-		HorizonShare:   0.4,
+		HorizonShare:   0.6,
+		SoonBoots:      3,
 		BootPatience:   3,
 	}
 }
@@ -101,6 +103,7 @@
 		{"spot_share", &p.SpotShare, 0, 1},
 		{"idle_boots", &p.IdleBoots, 0, 1000},
 		{"horizon_share", &p.HorizonShare, 0.05, 1},
+		{"soon_boots", &p.SoonBoots, 0.1, 1000},
 		{"boot_patience", &p.BootPatience, 1.5, 100},
 	} {
 		known[f.key] = true
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -40,6 +40,7 @@
 	holds     map[string]*hold
 	hirings   map[string]*hiring
 	gone      map[string]bool // deleted, by the cloud's word
+	parked    map[string]bool // gets no new tasks, to be returned when empty
 	closed    map[pool]time.Duration
 	strikes   map[pool]int
 	counter   int
@@ -65,6 +66,7 @@
 	f.holds = map[string]*hold{}
 	f.hirings = map[string]*hiring{}
 	f.gone = map[string]bool{}
+	f.parked = map[string]bool{}
 	f.closed = map[pool]time.Duration{}
 	f.strikes = map[pool]int{}
 	f.lists, f.listAt = 0, 0
@@ -197,35 +199,41 @@
 			h.state = wire.MachineRunning
 		}
 	}
-	any, ordinary := f.demand()
-	f.desired = any + ordinary
-	var have, haveOrdinary float64
+	d := f.demand()
+	f.desired = d.soon
+	var have, spot float64
 	for _, h := range f.holds {
 		if mt := c.types()[h.typ]; mt != nil && f.counts(h) {
 			have += mt.CPUs
-			if !h.spot {
-				haveOrdinary += mt.CPUs
+			if h.spot {
+				spot += mt.CPUs
 			}
 		}
 	}
 	for _, h := range f.hirings {
 		if mt := c.types()[h.req.Type]; mt != nil {
 			have += mt.CPUs * float64(h.req.Count)
-			if !h.req.Spot {
-				haveOrdinary += mt.CPUs * float64(h.req.Count)
+			if h.req.Spot {
+				spot += mt.CPUs * float64(h.req.Count)
 			}
 		}
 	}
-	f.hire(jobs, any+ordinary-have, ordinary-haveOrdinary)
-	f.giveBack(have, haveOrdinary, any, ordinary)
+	f.hire(jobs, d, have, spot)
+	f.giveBack(d, have, spot)
 	f.drop()
 }
 
-// demand is how many CPUs the unfinished work should have: so many that each
-// job's work is done within a share of the time that its class's aims leave it.
-func (f *fleet) demand() (any, ordinary float64) {
+// need is how many CPUs the unfinished work should have. soon is for work to be
+// done as soon as a cheap machine pays; due for it to be done in time, which is
+// worth an ordinary machine; firm is the share of due that may not run on cheap
+// machines at all.
+type need struct{ soon, due, firm float64 }
+
+// demand adds up what each unfinished job needs.
+func (f *fleet) demand() need {
 	c := f.c
-	perTeam := map[string]float64{}
+	var d need
+	soon, due := map[string]float64{}, map[string]float64{}
 	for _, id := range sortedKeys(c.orch.queue) {
 		q := c.orch.queue[id]
 		s := &q.j.rec.Spec
@@ -235,33 +243,53 @@
 		waiting := float64(max(q.waiting(), 0))
 		flying := float64(len(q.flights))
 		pred := c.est.predict(s)
-		n := waiting + flying
+		cpus := func(horizon float64) float64 { return (waiting + flying) * s.CPUs }
 		if s.Kind == wire.KindArray {
 			if len(q.failedOn) >= 3 && q.j.doneN+len(q.finished) == 0 {
 				waiting = min(waiting, 1) // fails wherever it runs: worth no machines
 			}
 			work := waiting*pred + flying*pred/2
-			n = min(waiting+flying, math.Ceil(work/max(f.horizon(q, pred), 1)))
+			cpus = func(horizon float64) float64 {
+				return min(waiting+flying, math.Ceil(work/max(horizon, pred, 1))) * s.CPUs
+			}
 		}
-		cpus := n * s.CPUs
+		limit := math.Inf(1)
 		if t := c.team(s.Team); t != nil && t.CPUsMax > 0 {
-			cpus = max(min(cpus, t.CPUsMax-perTeam[s.Team]), 0)
+			limit = t.CPUsMax
 		}
-		perTeam[s.Team] += cpus
-		if s.Spot {
-			any += cpus
-		} else {
-			ordinary += cpus
+		capped := func(used map[string]float64, x float64) float64 {
+			x = max(min(x, limit-used[s.Team]), 0)
+			used[s.Team] += x
+			return x
+		}
+		late := capped(due, cpus(f.horizon(q, pred)))
+		d.due += late
+		d.soon += capped(soon, cpus(f.soonest(s)))
+		if !s.Spot {
+			d.firm += late
 		}
 	}
-	if most := c.policy.SpotShare; most < 1 {
-		ordinary += any * (1 - most)
-		any *= most
+	d.firm += (d.due - d.firm) * (1 - c.policy.SpotShare)
+	d.soon = max(d.soon, d.due)
+	return d
+}
+
+// soonest is the shortest time in which queued work is worth a cheap machine:
+// its boot is paid as well.
+func (f *fleet) soonest(s *wire.Job) float64 {
+	boot := math.Inf(1)
+	for _, t := range f.c.types() {
+		if allows(s, t.Name) && holds(t, s) {
+			boot = min(boot, t.BootS)
+		}
+	}
+	if math.IsInf(boot, 1) {
+		return 0
 	}
-	return any, ordinary
+	return boot * f.c.policy.SoonBoots
 }
 
-// horizon is the time in which a job's queued work should be done.
+// horizon is the time in which a job's queued work must be done to be in time.
 func (f *fleet) horizon(q *queued, pred float64) float64 {
 	s := &q.j.rec.Spec
 	age := max(f.c.now.Wall-q.j.rec.At, 0)
@@ -272,10 +300,10 @@
 		}
 		switch a.Kind {
 		case "finished":
-			h = min(h, max(a.WithinS*f.c.policy.HorizonShare, a.WithinS-age-pred))
+			h = min(h, a.WithinS*f.c.policy.HorizonShare-age)
 		case "deadline":
 			if s.DeadlineS > 0 {
-				h = min(h, (s.DeadlineS-age)*f.c.policy.HorizonShare)
+				h = min(h, s.DeadlineS*f.c.policy.HorizonShare-age)
 			}
 		case "wait":
 			h = min(h, pred)
@@ -284,7 +312,7 @@
 	if math.IsInf(h, 1) {
 		h = 4 * f.c.times.lease.Seconds()
 	}
-	return max(h, pred, f.c.times.lease.Seconds()/2)
+	return max(h, f.soonest(s))
 }
 
 // offer is a pool with what a unit of work costs there.
@@ -357,30 +385,28 @@
 	return c.orch.epochAtStart == 0 || f.lists > 0 && c.now.Steady-c.members.ledSince > f.lag()*3/2
 }
 
-func (f *fleet) hire(jobs []*queued, lack, lackOrdinary float64) {
+func (f *fleet) hire(jobs []*queued, d need, have, spot float64) {
 	if len(jobs) == 0 || !f.mayHire() {
 		return
 	}
 	c := f.c
+	lackSoon, lackDue, lackFirm := d.soon-have, d.due-have, d.firm-(have-spot)
 	for _, q := range jobs {
 		s := &q.j.rec.Spec
-		short := lack
-		if !s.Spot {
-			short = max(lackOrdinary, 0)
-		}
-		if short < s.CPUs && !f.homeless(q) {
-			continue
-		}
-		for _, o := range f.offers(s, false) {
-			n := int(math.Ceil(short / o.mt.CPUs))
-			if short < o.mt.CPUs/2 && !f.homeless(q) {
-				break
+		homeless := f.homeless(q)
+		for _, o := range f.offers(s, lackFirm > max(lackSoon, lackDue)) {
+			short := lackDue
+			if o.spot {
+				short = lackSoon
+			} else {
+				short = max(short, lackFirm)
 			}
-			n = min(max(n, 1), wire.MaxHire)
-			// Spread over the zones: none gets more than its share at once.
-			if n > 1 {
-				n = max(1, (n+len(o.mt.Zones)-1)/len(o.mt.Zones))
+			if short < o.mt.CPUs/2 && !homeless {
+				continue
 			}
+			n := min(max(int(math.Ceil(short/o.mt.CPUs)), 1), wire.MaxHire)
+			// Spread over the zones: none gets more than its share at once.
+			n = max(1, (n+len(o.mt.Zones)-1)/len(o.mt.Zones))
 			if f.pending(o.pool) || !f.spend() {
 				continue
 			}
@@ -391,15 +417,13 @@
 			}
 			f.hirings[req.Request] = &hiring{req: req}
 			c.emit(Hire{Request: req})
-			c.debugf("hiring", "request", req.Request, "type", o.typ, "zone", o.zone, "spot", o.spot, "count", n, "lack", lack)
+			c.debugf("hiring", "request", req.Request, "type", o.typ, "zone", o.zone, "spot", o.spot, "count", n, "short", short)
+			homeless = false
 			cpus := float64(n) * o.mt.CPUs
-			lack -= cpus
-			short -= cpus
+			lackSoon -= cpus
+			lackDue -= cpus
 			if !o.spot {
-				lackOrdinary -= cpus
-			}
-			if short <= 0 {
-				break
+				lackFirm -= cpus
 			}
 		}
 	}
@@ -500,34 +524,46 @@
 	return "the cloud has no machine of the allowed types to give"
 }
 
-// giveBack returns machines that idle: dear ones first.
-func (f *fleet) giveBack(have, haveOrdinary, any, ordinary float64) {
+// giveBack returns machines that are not needed. An ordinary machine that the
+// work due does not need is parked: it gets no new tasks, and goes when its last
+// one ends. A cheap one goes when it has been idle.
+func (f *fleet) giveBack(d need, have, spot float64) {
 	c := f.c
-	var idle []*hold
+	f.parked = map[string]bool{}
+	var up []*hold
 	for _, name := range sortedKeys(f.holds) {
 		h := f.holds[name]
 		v := c.orch.rigs[name]
-		mt := c.types()[h.typ]
-		if h.leaving != "" || v == nil || mt == nil || !v.state.Up || len(v.tasks) > 0 || v.upAt < 0 {
-			continue
+		if h.leaving == "" && v != nil && v.state.Up && v.upAt >= 0 && c.types()[h.typ] != nil {
+			up = append(up, h)
 		}
-		keep := config.Seconds(mt.BootS * c.policy.IdleBoots)
-		if c.now.Steady-v.emptyAt < keep || c.now.Steady-h.since < 55*time.Second {
-			continue
-		}
-		idle = append(idle, h)
 	}
-	sort.SliceStable(idle, func(a, b int) bool { return !idle[a].spot && idle[b].spot })
-	for _, h := range idle {
-		cpus := c.types()[h.typ].CPUs
-		if have-cpus < any+ordinary || !h.spot && haveOrdinary-cpus < ordinary {
+	load := func(h *hold) float64 { return float64(len(c.orch.rigs[h.name].tasks)) / c.types()[h.typ].CPUs }
+	sort.SliceStable(up, func(a, b int) bool {
+		if up[a].spot != up[b].spot {
+			return up[b].spot
+		}
+		return load(up[a]) < load(up[b])
+	})
+	for _, h := range up {
+		v, mt := c.orch.rigs[h.name], c.types()[h.typ]
+		if h.spot && have-mt.CPUs < d.soon || !h.spot && (have-mt.CPUs < d.due || have-spot-mt.CPUs < d.firm) {
 			continue
 		}
-		have -= cpus
-		if !h.spot {
-			haveOrdinary -= cpus
+		idle := len(v.tasks) == 0
+		if h.spot {
+			keep := config.Seconds(mt.BootS * c.policy.IdleBoots)
+			idle = idle && c.now.Steady-v.emptyAt >= keep
+		} else {
+			f.parked[h.name] = true
+		}
+		have -= mt.CPUs
+		if h.spot {
+			spot -= mt.CPUs
+		}
+		if idle && c.now.Steady-h.since >= 55*time.Second {
+			f.retire(h, "idle")
 		}
-		f.retire(h, "idle")
 	}
 }
 
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -704,7 +704,7 @@
 		p := o.parts[v.part]
 		s := &v.state
 		if !s.Up || !s.Sure || s.Notice || s.Draining || v.sick || v.mt == nil || o.c.ledger.machines[name] == nil ||
-			p == nil || p.session == 0 || p.synced != o.epoch || o.c.fleet.leaving(name) {
+			p == nil || p.session == 0 || p.synced != o.epoch || o.c.fleet.leaving(name) || o.c.fleet.parked[name] {
 			continue
 		}
 		m := &planned{name: name, part: p, view: v, room: room{
@@ -831,6 +831,9 @@
 	}
 	sort.SliceStable(fitting, func(a, b int) bool {
 		x, y := fitting[a], fitting[b]
+		if x.spot != y.spot {
+			return x.spot
+		}
 		if hx, hy := x.has(s.Image), y.has(s.Image); hx != hy {
 			return hx
 		}
