--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -33,8 +33,8 @@
 		ProgressShare:  0.4,
 		SpotShare:      1,
 		IdleBoots:      0.5,
-		HorizonShare:   0.6,
-		SoonBoots:      3,
+		HorizonShare:   0.8,
+		SoonBoots:      1,
 		BootPatience:   3,
 	}
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -219,7 +219,7 @@
 		}
 	}
 	f.hire(jobs, d, have, spot)
-	f.giveBack(d, have, spot)
+	f.giveBack(d)
 	f.drop()
 }
 
@@ -290,27 +290,33 @@
 }
 
 // horizon is the time in which a job's queued work must be done to be in time.
+// Once it is too late for that, a cheap machine is all that it is worth.
 func (f *fleet) horizon(q *queued, pred float64) float64 {
 	s := &q.j.rec.Spec
 	age := max(f.c.now.Wall-q.j.rec.At, 0)
+	patient := 10 * f.c.times.lease.Seconds()
 	h := math.Inf(1)
 	for _, a := range f.c.set.Site.Objectives {
 		if a.Class != s.Class {
 			continue
 		}
+		left := math.Inf(1)
 		switch a.Kind {
 		case "finished":
-			h = min(h, a.WithinS*f.c.policy.HorizonShare-age)
+			left = a.WithinS - age
 		case "deadline":
 			if s.DeadlineS > 0 {
-				h = min(h, s.DeadlineS*f.c.policy.HorizonShare-age)
+				left = s.DeadlineS*max(a.Times, 1) - age
 			}
 		case "wait":
-			h = min(h, pred)
+			left = pred
+		}
+		if left > 0 {
+			h = min(h, left*f.c.policy.HorizonShare)
 		}
 	}
 	if math.IsInf(h, 1) {
-		h = 4 * f.c.times.lease.Seconds()
+		h = patient
 	}
 	return max(h, f.soonest(s))
 }
@@ -527,15 +533,25 @@
 // giveBack returns machines that are not needed. An ordinary machine that the
 // work due does not need is parked: it gets no new tasks, and goes when its last
 // one ends. A cheap one goes when it has been idle.
-func (f *fleet) giveBack(d need, have, spot float64) {
+//
+// Only machines that are up count: parking for the sake of those that still
+// boot left a full queue and empty machines.
+func (f *fleet) giveBack(d need) {
 	c := f.c
 	f.parked = map[string]bool{}
 	var up []*hold
+	var have, spot float64
 	for _, name := range sortedKeys(f.holds) {
 		h := f.holds[name]
 		v := c.orch.rigs[name]
 		if h.leaving == "" && v != nil && v.state.Up && v.upAt >= 0 && c.types()[h.typ] != nil {
 			up = append(up, h)
+			if f.counts(h) {
+				have += c.types()[h.typ].CPUs
+				if h.spot {
+					spot += c.types()[h.typ].CPUs
+				}
+			}
 		}
 	}
 	load := func(h *hold) float64 { return float64(len(c.orch.rigs[h.name].tasks)) / c.types()[h.typ].CPUs }
