--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -53,7 +53,8 @@
 	ttl    time.Duration // our own lease in the state service
 	fresh  time.Duration // how long a renewal or a mirror counts as fresh
 	gone   time.Duration // silence after which a worker has dropped its tasks
-	round  time.Duration // orchestrator's round
+	round  time.Duration // the leader's slow round: fleet, views, what could not be placed
+	sort   time.Duration // the leader's quick round: rank and dispatch
 }
 
 func newTimes(s *config.Settings) times {
@@ -67,6 +68,7 @@
 	t.fresh = t.ttl * 17 / 20
 	t.gone = t.lease + time.Duration(4*drift*float64(t.lease+t.fresh)) + t.report/8
 	t.round = time.Second
+	t.sort = min(t.report/6, t.round)
 	return t
 }
 
@@ -197,7 +199,7 @@
 
 // Next is when the core wants to be called even if nothing happens.
 func (c *Core) Next() time.Duration {
-	next := c.now.Steady + c.times.round/4
+	next := c.now.Steady + min(c.times.round/4, c.times.sort)
 	if len(c.timers) > 0 && c.timers[0].at < next {
 		next = c.timers[0].at
 	}
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -99,6 +99,7 @@
 	tasks        map[string]*flight
 	counter      uint64
 	lastRound    time.Duration
+	lastSort     time.Duration
 	writes       float64 // tokens for progress writes
 	writesAt     time.Duration
 	saveDue      bool
@@ -118,7 +119,7 @@
 	o.rigs = map[string]*rigView{}
 	o.queue = map[string]*queued{}
 	o.tasks = map[string]*flight{}
-	o.lastRound = o.c.now.Steady
+	o.lastRound = 0
 	o.writesAt = o.c.now.Steady
 	o.writes = o.c.set.Site.State.WriteRPS / 4
 	if on {
@@ -503,12 +504,16 @@
 		o.saveDue, o.saveAt = false, o.c.now.Steady+o.c.times.round/4
 		o.save()
 	}
-	if o.c.now.Steady-o.lastRound >= o.c.times.round {
-		o.lastRound = o.c.now.Steady
+	if o.c.now.Steady-o.lastSort >= o.c.times.sort {
+		o.lastSort = o.c.now.Steady
 		o.settle()
-		o.round()
-		o.c.est.save()
-		o.tell()
+		jobs := o.round()
+		if o.c.now.Steady-o.lastRound >= o.c.times.round {
+			o.lastRound = o.c.now.Steady
+			o.c.fleet.want(jobs)
+			o.c.est.save()
+			o.tell()
+		}
 	}
 	for _, label := range sortedKeys(o.parts) {
 		if p := o.parts[label]; p.dirty && p.session != 0 {
@@ -671,15 +676,14 @@
 }
 
 // round ranks what waits and dispatches what fits.
-func (o *orchestrator) round() {
-	c := o.c
+func (o *orchestrator) round() []*queued {
 	jobs := o.rank()
 	rooms := o.rooms()
 	cpus, gpus := o.use()
 	for _, q := range jobs {
 		o.dispatch(q, rooms, cpus, gpus)
 	}
-	c.fleet.want(jobs)
+	return jobs
 }
 
 // planned is a machine in the leader's plan of one round.
