Work due from the prefix of work in rank order and the inflow before it

Cause: each job was given a lane of its own, but work runs in rank order, so what ranks last waited for everything before it.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -53,6 +53,8 @@
 	budget    float64
 	budgetAt  time.Duration
 	desired   float64
+	coming    map[int]float64 // CPUs of work that comes in, by urgency
+	fadedAt   time.Duration
 }
 
 func newFleet(c *Core) *fleet {
@@ -67,6 +69,7 @@
 	f.hirings = map[string]*hiring{}
 	f.gone = map[string]bool{}
 	f.parked = map[string]bool{}
+	f.coming = map[int]float64{}
 	f.closed = map[pool]time.Duration{}
 	f.strikes = map[pool]int{}
 	f.lists, f.listAt = 0, 0
@@ -199,6 +202,7 @@
 			h.state = wire.MachineRunning
 		}
 	}
+	f.fade()
 	d := f.demand()
 	f.desired = d.soon
 	var have, spot float64
@@ -229,51 +233,86 @@
 // machines at all.
 type need struct{ soon, due, firm float64 }
 
-// demand adds up what each unfinished job needs.
+// demand adds up what each unfinished job needs. Work is done in rank order, so
+// what a job waits for is all that ranks before it, and what of that kind is
+// still to come while it waits: due is the capacity at which the worst-off job
+// is just in time.
 func (f *fleet) demand() need {
 	c := f.c
 	var d need
-	soon, due := map[string]float64{}, map[string]float64{}
-	for _, id := range sortedKeys(c.orch.queue) {
-		q := c.orch.queue[id]
+	soon := map[string]float64{}
+	var ahead, firm float64
+	for _, q := range c.orch.ranked() {
 		s := &q.j.rec.Spec
-		if q.j.final() || q.ending {
-			continue
-		}
 		waiting := float64(max(q.waiting(), 0))
 		flying := float64(len(q.flights))
-		pred := c.est.predict(s)
-		cpus := func(horizon float64) float64 { return (waiting + flying) * s.CPUs }
+		pred := q.pred
+		cpus := (waiting + flying) * s.CPUs
+		work := (waiting*pred + flying*pred/2) * s.CPUs
 		if s.Kind == wire.KindArray {
 			if len(q.failedOn) >= 3 && q.j.doneN+len(q.finished) == 0 {
 				waiting = min(waiting, 1) // fails wherever it runs: worth no machines
+				work = waiting * pred * s.CPUs
 			}
-			work := waiting*pred + flying*pred/2
-			cpus = func(horizon float64) float64 {
-				return min(waiting+flying, math.Ceil(work/max(horizon, pred, 1))) * s.CPUs
-			}
+			cpus = min(waiting+flying, math.Ceil(work/s.CPUs/max(f.soonest(s), pred, 1))) * s.CPUs
 		}
-		limit := math.Inf(1)
 		if t := c.team(s.Team); t != nil && t.CPUsMax > 0 {
-			limit = t.CPUsMax
-		}
-		capped := func(used map[string]float64, x float64) float64 {
-			x = max(min(x, limit-used[s.Team]), 0)
-			used[s.Team] += x
-			return x
+			cpus = max(min(cpus, t.CPUsMax-soon[s.Team]), 0)
+			soon[s.Team] += cpus
+		}
+		d.soon += cpus
+		if s.Kind != wire.KindArray {
+			d.due += cpus // replicas run for ever: their room is never free
+			if !s.Spot {
+				firm += cpus
+			}
+			continue
 		}
-		late := capped(due, cpus(f.horizon(q, pred)))
-		d.due += late
-		d.soon += capped(soon, cpus(f.soonest(s)))
+		ahead += work
 		if !s.Spot {
-			d.firm += late
+			firm += min(cpus, work/f.horizon(q, pred))
+		}
+		if waiting > 0 {
+			left := f.horizon(q, pred)
+			d.due = max(d.due, ahead/left+f.inflow(q))
 		}
 	}
-	d.firm += (d.due - d.firm) * (1 - c.policy.SpotShare)
-	d.soon = max(d.soon, d.due)
+	d.soon = max(d.soon, min(d.due, d.soon*2))
+	d.due = min(d.due, d.soon)
+	d.firm = firm + (d.due-firm)*(1-c.policy.SpotShare)
 	return d
 }
 
+// inflow is how many CPUs the work that keeps coming in, and ranks before a job,
+// takes.
+func (f *fleet) inflow(q *queued) float64 {
+	u := urgency(q.j.rec.Spec.Urgency)
+	var sum float64
+	for v, x := range f.coming {
+		if v < u {
+			sum += x
+		}
+	}
+	return sum
+}
+
+// arrived counts a new job's work into the inflow of its urgency.
+func (f *fleet) arrived(q *queued) {
+	s := &q.j.rec.Spec
+	span := 8 * f.c.times.lease.Seconds()
+	f.coming[urgency(s.Urgency)] += float64(s.Tasks) * s.CPUs * f.c.est.predict(s) / span
+}
+
+// fade lets the inflow fall with the time since it came.
+func (f *fleet) fade() {
+	span := 8 * f.c.times.lease.Seconds()
+	dt := (f.c.now.Steady - f.fadedAt).Seconds()
+	f.fadedAt = f.c.now.Steady
+	for u, x := range f.coming {
+		f.coming[u] = x * math.Exp(-dt/span)
+	}
+}
+
 // soonest is the shortest time in which queued work is worth a cheap machine:
 // its boot is paid as well.
 func (f *fleet) soonest(s *wire.Job) float64 {
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -396,6 +396,7 @@
 	l.commit([]wire.Guard{{Key: key}}, []wire.Op{{Put: key, Value: rec}}, func(d CommitDone) {
 		switch d.Status {
 		case 200:
+			l.c.debugf("accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks, "estimate", spec.EstimateS)
 			l.c.emit(Reply{ID: id, Status: 201, Body: wire.JobAnswer{ID: spec.ID, State: wire.JobQueued}})
 		case 409:
 			l.known(id, spec.ID) // another node was first, or an earlier try of ours
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -152,6 +152,9 @@
 		}
 		q.limbo = j.version <= o.startRev
 		o.queue[id] = q
+		if !q.limbo {
+			o.c.fleet.arrived(q)
+		}
 	}
 }
 
@@ -730,15 +733,25 @@
 // path by CPUs (GPUs) times predicted duration, which waiting shrinks.
 func (o *orchestrator) rank() []*queued {
 	o.guarantees()
+	var jobs []*queued
+	for _, q := range o.ranked() {
+		q.reason = ""
+		if q.waiting() > 0 {
+			jobs = append(jobs, q)
+		}
+	}
+	return jobs
+}
+
+// ranked is every unfinished job, in rank order.
+func (o *orchestrator) ranked() []*queued {
 	var jobs []*queued
 	for _, id := range sortedKeys(o.queue) {
 		q := o.queue[id]
-		q.reason = ""
-		if q.j.final() || q.ending || q.waiting() <= 0 {
-			continue
+		if !q.j.final() && !q.ending {
+			q.pred = o.c.est.predict(&q.j.rec.Spec)
+			jobs = append(jobs, q)
 		}
-		q.pred = o.c.est.predict(&q.j.rec.Spec)
-		jobs = append(jobs, q)
 	}
 	key := func(q *queued) (int, float64) {
 		s := &q.j.rec.Spec
@@ -846,7 +859,14 @@
 		}
 		return better(&x.room, &y.room, s.Image)
 	})
-	at, held := 0, 0
+	at, held, sent := 0, 0, 0
+	if c.debug {
+		defer func() {
+			if sent > 0 || q.reason != "" {
+				c.debugf("ranked", "job", q.id, "predicted", q.pred, "guaranteed", q.in, "dispatched", sent, "waiting", q.waiting(), "reason", q.reason)
+			}
+		}()
+	}
 	for i := 0; i < s.Tasks && q.waiting() > 0; i++ {
 		if q.flights[i] != nil || q.over(i) {
 			continue
@@ -888,6 +908,7 @@
 		name := wire.TaskName(q.id, i)
 		o.tasks[name] = f
 		q.flights[i] = f
+		sent++
 		delete(q.hold, i)
 		m.part.outbox.Dispatch = append(m.part.outbox.Dispatch, wire.TaskTry{Task: name, Attempt: f.attempt})
 		m.part.dirty = true
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -419,6 +419,7 @@
 		return
 	}
 	r.dirty = true
+	p.c.debugf("task", "task", t.task, "machine", r.name, "state", tr.State, "why", tr.Why)
 	if tr.State == wire.TaskRunning && t.since == 0 {
 		t.since = p.c.now.Steady
 		if t.spec != nil {
@@ -592,6 +593,7 @@
 			rooms[best].images = r.images
 		}
 		t.phase, t.since = phaseQueued, 0
+		c.debugf("placed", "task", t.task, "machine", r.name)
 		r.tasks = append(r.tasks, t)
 		r.dirty = true
 		if r.heard+c.times.report-c.now.Steady > c.times.report/6 {
