An aim that allows more misses is worth less haste; no rush that comes too late

Cause: one horizon for all aims bought ordinary machines for aims that allow 18 misses in a hundred, and for jobs that end before such a machine has booted.

--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -21,6 +21,7 @@
 	IdleBoots      float64 // an idle machine is kept for this many boot times
 	HorizonShare   float64 // share of an aim's time in which queued work should be done
 	SoonBoots      float64 // queued work should be done within this many boot times, on cheap machines
+	RushBoots      float64 // an ordinary machine is hired for work that has more than this many boot times left
 	BootPatience   float64 // a boot is given up after this many boot times
 }
 
@@ -33,8 +34,9 @@
 		ProgressShare:  0.4,
 		SpotShare:      1,
 		IdleBoots:      0.5,
-		HorizonShare:   0.8,
+		HorizonShare:   0.55,
 		SoonBoots:      1,
+		RushBoots:      1.5,
 		BootPatience:   3,
 	}
 }
@@ -104,6 +106,7 @@
 		{"idle_boots", &p.IdleBoots, 0, 1000},
 		{"horizon_share", &p.HorizonShare, 0.05, 1},
 		{"soon_boots", &p.SoonBoots, 0.1, 1000},
+		{"rush_boots", &p.RushBoots, 0, 1000},
 		{"boot_patience", &p.BootPatience, 1.5, 100},
 	} {
 		known[f.key] = true
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -203,8 +203,6 @@
 		}
 	}
 	f.fade()
-	d := f.demand()
-	f.desired = d.soon
 	var have, spot float64
 	for _, h := range f.holds {
 		if mt := c.types()[h.typ]; mt != nil && f.counts(h) {
@@ -222,6 +220,9 @@
 			}
 		}
 	}
+	d := f.demand(have)
+	f.desired = d.soon
+	c.debugf("demand", "soon", d.soon, "due", d.due, "firm", d.firm, "have", have, "spot", spot, "inflow", f.coming)
 	f.hire(jobs, d, have, spot)
 	f.giveBack(d)
 	f.drop()
@@ -230,14 +231,14 @@
 // need is how many CPUs the unfinished work should have. soon is for work to be
 // done as soon as a cheap machine pays; due for it to be done in time, which is
 // worth an ordinary machine; firm is the share of due that may not run on cheap
-// machines at all.
-type need struct{ soon, due, firm float64 }
+// machines at all. rush is what to hire ordinary machines up to.
+type need struct{ soon, due, firm, rush float64 }
 
 // demand adds up what each unfinished job needs. Work is done in rank order, so
 // what a job waits for is all that ranks before it, and what of that kind is
 // still to come while it waits: due is the capacity at which the worst-off job
 // is just in time.
-func (f *fleet) demand() need {
+func (f *fleet) demand(have float64) need {
 	c := f.c
 	var d need
 	soon := map[string]float64{}
@@ -274,11 +275,17 @@
 		}
 		if waiting > 0 {
 			left := f.horizon(q, pred)
-			d.due = max(d.due, ahead/left+f.inflow(q))
+			need := ahead/left + f.inflow(q)
+			d.due = max(d.due, need)
+			// A machine hired now helps only once it has booted.
+			if left > f.soonest(s)*f.c.policy.RushBoots {
+				d.rush = max(d.rush, need)
+			}
 		}
 	}
 	d.soon = max(d.soon, min(d.due, d.soon*2))
 	d.due = min(d.due, d.soon)
+	d.rush = min(d.rush, d.soon)
 	d.firm = firm + (d.due-firm)*(1-c.policy.SpotShare)
 	return d
 }
@@ -350,8 +357,9 @@
 		case "wait":
 			left = pred
 		}
+		// An aim that allows more misses is worth less haste.
 		if left > 0 {
-			h = min(h, left*f.c.policy.HorizonShare)
+			h = min(h, left*min(f.c.policy.HorizonShare+haste*(1-a.Share), 1))
 		}
 	}
 	if math.IsInf(h, 1) {
@@ -360,6 +368,9 @@
 	return max(h, f.soonest(s))
 }
 
+// haste is how much of a job's time one miss in a hundred gives back.
+const haste = 2.5
+
 // offer is a pool with what a unit of work costs there.
 type offer struct {
 	pool
@@ -435,7 +446,7 @@
 		return
 	}
 	c := f.c
-	lackSoon, lackDue, lackFirm := d.soon-have, d.due-have, d.firm-(have-spot)
+	lackSoon, lackDue, lackFirm := d.soon-have, d.rush-have, d.firm-(have-spot)
 	for _, q := range jobs {
 		s := &q.j.rec.Spec
 		homeless := f.homeless(q)
