Guaranteed work that waits is due within two boots

Cause: on accra cheap machines were all taken and nothing else was hired while guaranteed jobs waited.

--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -34,7 +34,7 @@
 		ProgressShare:  0.4,
 		SpotShare:      1,
 		IdleBoots:      0.5,
-		HorizonShare:   0.55,
+		HorizonShare:   0.4,
 		SoonBoots:      1,
 		RushBoots:      1.5,
 		BootPatience:   3,
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -278,7 +278,7 @@
 			need := ahead/left + f.inflow(q)
 			d.due = max(d.due, need)
 			// A machine hired now helps only once it has booted.
-			if left > f.soonest(s)*f.c.policy.RushBoots {
+			if left >= f.soonest(s)*f.c.policy.RushBoots {
 				d.rush = max(d.rush, need)
 			}
 		}
@@ -343,6 +343,11 @@
 	patient := 10 * f.c.times.lease.Seconds()
 	h := math.Inf(1)
 	for _, a := range f.c.set.Site.Objectives {
+		if a.Kind == "guarantee" && q.in {
+			// Guaranteed work that waits will start late whatever is hired; it
+			// should not wait much longer than a boot.
+			h = min(h, 2*f.soonest(s))
+		}
 		if a.Class != s.Class {
 			continue
 		}
