--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -13,31 +13,35 @@
 
 // Policy holds the operators' own choices, beyond the platform's file.
 type Policy struct {
-	AgingLeases    float64 // waiting this many worker leases halves a task's rank
-	HistoryTasks   float64 // how many durations a running mean remembers
-	QuarantineJobs int     // failures of this many jobs make a machine faulty
-	ProgressShare  float64 // share of the state writes that progress may take
-	SpotShare      float64 // largest share of the CPUs on cheap machines
-	IdleBoots      float64 // an idle machine is kept for this many boot times
-	HorizonShare   float64 // share of an aim's time in which queued work should be done
-	SoonBoots      float64 // queued work should be done within this many boot times, on cheap machines
-	RushBoots      float64 // an ordinary machine is hired for work that has more than this many boot times left
-	BootPatience   float64 // a boot is given up after this many boot times
+	AgingLeases         float64 // waiting this many worker leases halves a task's rank
+	HistoryTasks        float64 // how many durations a running mean remembers
+	QuarantineJobs      int     // failures of this many jobs make a machine faulty
+	ProgressShare       float64 // share of the state writes that progress may take
+	SpotShare           float64 // largest share of the CPUs on cheap machines
+	IdleBoots           float64 // an idle machine is kept for this many boot times
+	HorizonShare        float64 // share of an aim's time in which queued work should be done
+	SoonBoots           float64 // queued work should be done within this many boot times, on cheap machines
+	RushBoots           float64 // an ordinary machine is hired for work that has more than this many boot times left
+	PreemptReports      float64 // a task is stopped for others if it loses at most this many report periods of work
+	PreemptForGuarantee bool    // stop what others run beyond their guarantee
+	BootPatience        float64 // a boot is given up after this many boot times
 }
 
 // DefaultPolicy is what holds without a script.
 func DefaultPolicy() Policy {
 	return Policy{
-		AgingLeases:    10,
-		HistoryTasks:   200,
-		QuarantineJobs: 2,
-		ProgressShare:  0.4,
-		SpotShare:      1,
-		IdleBoots:      0.5,
-		HorizonShare:   0.4,
-		SoonBoots:      1,
-		RushBoots:      1.5,
-		BootPatience:   3,
+		AgingLeases:         10,
+		HistoryTasks:        200,
+		QuarantineJobs:      2,
+		ProgressShare:       0.4,
+		SpotShare:           1,
+		IdleBoots:           0.5,
+		HorizonShare:        0.4,
+		SoonBoots:           1,
+		RushBoots:           1.5,
+		PreemptReports:      4,
+		PreemptForGuarantee: false,
+		BootPatience:        3,
 	}
 }
 
@@ -91,7 +95,7 @@
 		}
 		*into = x
 	}
-	quarantine := float64(p.QuarantineJobs)
+	quarantine, guarantee := float64(p.QuarantineJobs), 1.0
 	known := map[string]bool{}
 	for _, f := range []struct {
 		key    string
@@ -107,12 +111,15 @@
 		{"horizon_share", &p.HorizonShare, 0.05, 1},
 		{"soon_boots", &p.SoonBoots, 0.1, 1000},
 		{"rush_boots", &p.RushBoots, 0, 1000},
+		{"preempt_reports", &p.PreemptReports, 0, 1e6},
+		{"preempt_for_guarantee", &guarantee, 0, 1},
 		{"boot_patience", &p.BootPatience, 1.5, 100},
 	} {
 		known[f.key] = true
 		number(f.key, f.into, f.lo, f.hi)
 	}
 	p.QuarantineJobs = int(quarantine)
+	p.PreemptForGuarantee = guarantee > 0
 	for _, key := range globals.Keys() {
 		if _, fn := globals[key].(starlark.Callable); !known[key] && !fn && key[0] != '_' {
 			errs = append(errs, fmt.Errorf("%s: %s is no setting (helpers begin with _)", lineOf(name, src, key), key))
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -55,6 +55,8 @@
 	desired   float64
 	coming    map[int]float64 // CPUs of work that comes in, by urgency
 	fadedAt   time.Duration
+	burstAt   time.Duration
+	burst     float64 // CPUs to keep free for jobs that must not wait
 }
 
 func newFleet(c *Core) *fleet {
@@ -70,6 +72,7 @@
 	f.gone = map[string]bool{}
 	f.parked = map[string]bool{}
 	f.coming = map[int]float64{}
+	f.burst = 0
 	f.closed = map[pool]time.Duration{}
 	f.strikes = map[pool]int{}
 	f.lists, f.listAt = 0, 0
@@ -283,7 +286,7 @@
 			}
 		}
 	}
-	d.soon = max(d.soon, min(d.due, d.soon*2))
+	d.soon += f.burst
 	d.due = min(d.due, d.soon)
 	d.rush = min(d.rush, d.soon)
 	d.firm = firm + (d.due-firm)*(1-c.policy.SpotShare)
@@ -307,6 +310,12 @@
 func (f *fleet) arrived(q *queued) {
 	s := &q.j.rec.Spec
 	span := 8 * f.c.times.lease.Seconds()
+	for _, a := range f.c.set.Site.Objectives {
+		if a.Kind == "wait" && a.Class == s.Class {
+			f.burst = max(f.burst, float64(s.Tasks)*s.CPUs)
+			f.burstAt = f.c.now.Steady
+		}
+	}
 	f.coming[urgency(s.Urgency)] += float64(s.Tasks) * s.CPUs * f.c.est.predict(s) / span
 }
 
@@ -315,6 +324,10 @@
 	span := 8 * f.c.times.lease.Seconds()
 	dt := (f.c.now.Steady - f.fadedAt).Seconds()
 	f.fadedAt = f.c.now.Steady
+	f.burst *= math.Exp(-dt / span)
+	if f.c.now.Steady-f.burstAt > 3*f.c.times.lease {
+		f.burst = 0
+	}
 	for u, x := range f.coming {
 		f.coming[u] = x * math.Exp(-dt/span)
 	}
@@ -587,7 +600,8 @@
 
 // giveBack returns machines that are not needed. An ordinary machine that the
 // work due does not need is parked: it gets no new tasks, and goes when its last
-// one ends. A cheap one goes when it has been idle.
+// one ends. A cheap one is parked when there is clearly too much, and goes when
+// it has been idle for a while.
 //
 // Only machines that are up count: parking for the sake of those that still
 // boot left a full queue and empty machines.
@@ -625,6 +639,7 @@
 		if h.spot {
 			keep := config.Seconds(mt.BootS * c.policy.IdleBoots)
 			idle = idle && c.now.Steady-v.emptyAt >= keep
+			f.parked[h.name] = have-mt.CPUs >= d.soon*5/4
 		} else {
 			f.parked[h.name] = true
 		}
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -20,7 +20,8 @@
 	limbo   bool // its part is gone and it may be on any machine not seen yet
 	state   string
 	since   time.Duration
-	asked   bool // to stop
+	runAt   time.Duration // when it was first seen running, 0: not yet
+	asked   bool          // to stop
 }
 
 // queued is a job in the leader's queue.
@@ -41,7 +42,10 @@
 	reason   string
 	said     wire.JobView
 	pred     float64
-	in       bool // within its team's guarantee
+	in       bool         // within its team's guarantee
+	stopped  map[int]bool // tasks that were stopped: what is left of them says nothing of their duration
+	stops    int
+	stopWhy  string
 }
 
 func (q *queued) waiting() int {
@@ -148,7 +152,7 @@
 	if q == nil {
 		q = &queued{
 			j: j, id: id, flights: map[int]*flight{}, finished: map[int]bool{},
-			hold: map[int]time.Duration{}, failedOn: map[string]bool{},
+			hold: map[int]time.Duration{}, failedOn: map[string]bool{}, stopped: map[int]bool{},
 		}
 		q.limbo = j.version <= o.startRev
 		o.queue[id] = q
@@ -360,7 +364,7 @@
 		q := o.queue[ref]
 		if q == nil {
 			if j.final() {
-				q = &queued{j: j, id: ref, flights: map[int]*flight{}, finished: map[int]bool{}, hold: map[int]time.Duration{}, failedOn: map[string]bool{}}
+				q = &queued{j: j, id: ref, flights: map[int]*flight{}, finished: map[int]bool{}, hold: map[int]time.Duration{}, failedOn: map[string]bool{}, stopped: map[int]bool{}}
 				o.queue[ref] = q
 			} else {
 				return
@@ -383,6 +387,9 @@
 		}
 	}
 	f.machine, f.part, f.limbo, f.attempt, f.state = s.Name, p.label, false, t.Attempt, t.State
+	if t.State == wire.TaskRunning && f.runAt == 0 {
+		f.runAt = o.c.now.Steady
+	}
 	v.tasks[t.Task] = f
 }
 
@@ -402,11 +409,13 @@
 		if q.saveAt == 0 {
 			q.saveAt = o.c.now.Steady + o.c.times.lease/4
 		}
-		if t.RanS > 0 {
+		if t.RanS > 0 && !q.stopped[index] {
 			o.c.est.add(&j.rec.Spec, t.RanS)
 		}
 		v.errors = map[string]bool{}
 		v.started = true
+	case wire.WhyStopped:
+		q.stopped[index] = true
 	case wire.WhyError:
 		if f != nil && f.attempt == t.Attempt {
 			o.failed(v, q, index)
@@ -736,6 +745,9 @@
 	var jobs []*queued
 	for _, q := range o.ranked() {
 		q.reason = ""
+		if q.fails > 0 && q.j.doneN+len(q.finished) == 0 {
+			q.reason = q.failedWhere()
+		}
 		if q.waiting() > 0 {
 			jobs = append(jobs, q)
 		}
@@ -897,7 +909,13 @@
 			}
 		}
 		if m == nil {
-			q.reason = o.noRoom(s)
+			if q.reason == "" {
+				q.reason = o.noRoom(s)
+			}
+			if q.stops > 0 {
+				q.reason = q.stopWhy + "; " + q.reason
+			}
+			o.makeRoom(q, rooms)
 			return
 		}
 		m.take(s)
@@ -914,10 +932,14 @@
 		m.part.dirty = true
 	}
 	if held > 0 {
-		q.reason = fmt.Sprintf("its tasks failed on %d machines, trying again later", len(q.failedOn))
+		q.reason = q.failedWhere()
 	}
 }
 
+func (q *queued) failedWhere() string {
+	return fmt.Sprintf("its tasks failed on %d machines, trying again later", len(q.failedOn))
+}
+
 func (o *orchestrator) noRoom(s *wire.Job) string {
 	if why := o.c.fleet.refused(s); why != "" {
 		return why
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -35,7 +35,8 @@
 	why     string
 	since   time.Duration // when it was seen running
 	ranS    float64
-	stop    bool // asked to stop, with time to save
+	stop    bool // asked to stop
+	now     bool // without time to save
 	spec    *wire.Job
 	stamp   uint64 // of the list it was last seen in
 }
@@ -473,8 +474,12 @@
 			}
 		case over || j.isDone(t.index):
 			cmds = append(cmds, wire.Command{Op: wire.OpStop, Task: t.task, Attempt: t.attempt})
-		case t.stop && t.state != wire.TaskSaving:
-			cmds = append(cmds, wire.Command{Op: wire.OpStop, Task: t.task, Attempt: t.attempt, GraceS: j.rec.Spec.SaveS})
+		case t.stop && (t.now || t.state != wire.TaskSaving):
+			stop := wire.Command{Op: wire.OpStop, Task: t.task, Attempt: t.attempt}
+			if !t.now {
+				stop.GraceS = j.rec.Spec.SaveS
+			}
+			cmds = append(cmds, stop)
 		}
 	}
 	for _, t := range r.tasks {
@@ -643,8 +648,8 @@
 		for _, r := range p.rigs {
 			for _, t := range r.tasks {
 				if t.task == s.Task && t.live() {
-					t.stop, r.urgent = true, true
-					c.info("stopping task", "task", t.task, "machine", r.name, "why", s.Why)
+					t.stop, t.now, r.urgent = true, s.Now, true
+					c.debugf("stopping", "task", t.task, "machine", r.name, "why", s.Why)
 				}
 			}
 		}
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -443,3 +443,19 @@
 		s.within(500*second, "every job is over", s.Users.AllTold)
 	}
 }
+
+// Urgent work does not wait behind a low report run: reports that save are
+// stopped, and say why.
+func TestUrgentWorkStopsReports(t *testing.T) {
+	s := begin(t, 67)
+	s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = 0, 1
+	low := fake.Array(16)
+	low.Urgency, low.CheckpointS, low.SaveS = wire.UrgencyLow, 4, 2
+	l := s.Users.Submit(low, 300)
+	s.within(60*second, "the report fills the machine", func() bool { return l.Running() == 16 })
+	high := fake.Array(8)
+	high.Urgency = wire.UrgencyHigh
+	h := s.Users.Submit(high, 20)
+	s.within(10*second, "the urgent tasks run", func() bool { return h.Running() == 8 })
+	s.within(10*second, "the report says why", func() bool { return strings.Contains(l.Answer.Reason, "more urgent work") })
+}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -36,9 +36,9 @@
 
 // TaskStop asks a part to stop a task.
 type TaskStop struct {
-	Task   string `json:"task"`
-	Why    string `json:"why"`
-	Urgent bool   `json:"urgent,omitempty"`
+	Task string `json:"task"`
+	Why  string `json:"why"`
+	Now  bool   `json:"now,omitempty"` // without time to save
 }
 
 // MachineState is a part's picture of one machine. Sure means that no task but
--- a/internal/wire/workers.go
+++ b/internal/wire/workers.go
@@ -68,7 +68,7 @@
 	Op      string  `msgpack:"Verb"`
 	Task    string  `msgpack:"Lot"`
 	Attempt uint64  `msgpack:"Try"`
-	GraceS  float64 `msgpack:"MercyS,omitempty"`
+	GraceS  float64 `msgpack:"MercyS"`
 }
 
 // ReportAnswer answers a report with 200.
