Gangs start once all their room is held; stranded jobs; unfit members

Cause: jobs that must start together were not served; a job tied to a zone found no machine there while there were plenty elsewhere; machines that such a job waited for were returned as idle; a node that reaches none of its workers kept its share of them.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -227,7 +228,7 @@
 	f.desired = d.soon
 	c.debugf("demand", "soon", d.soon, "due", d.due, "firm", d.firm, "have", have, "spot", spot, "inflow", f.coming)
 	f.hire(jobs, d, have, spot)
-	f.giveBack(d)
+	f.giveBack(d, jobs)
 	f.drop()
 }
 
@@ -413,15 +414,7 @@
 		if !allows(s, name) || !holds(mt, s) {
 			continue
 		}
-		slots := math.Inf(1)
-		for _, x := range [][2]float64{{mt.CPUs, s.CPUs}, {mt.GPUs, s.GPUs}, {mt.MemoryGB, s.MemoryGB}} {
-			if x[1] > 0 {
-				slots = min(slots, math.Floor(x[0]/x[1]+slack))
-			}
-		}
-		if math.IsInf(slots, 1) {
-			slots = 1
-		}
+		slots := slotsOf(mt, s)
 		warm := 1 + (mt.BootS+s.ImageGB/max(mt.FetchGBps, 0.01))/stay
 		for _, z := range mt.Zones {
 			if s.Zone != "" && s.Zone != z {
@@ -467,20 +460,25 @@
 	lackSoon, lackDue, lackFirm := d.soon-have, d.rush-have, d.firm-(have-spot)
 	for _, q := range jobs {
 		s := &q.j.rec.Spec
-		homeless := f.homeless(q)
-		for _, o := range f.offers(s, lackFirm > max(lackSoon, lackDue)) {
+		strandedIn, own := f.stranded(q)
+		for _, o := range f.offers(s, lackFirm > max(lackSoon, lackDue, 0)) {
+			if own > 0 && strandedIn != "" && o.zone != strandedIn {
+				continue
+			}
 			short := lackDue
 			if o.spot {
 				short = lackSoon
 			} else {
 				short = max(short, lackFirm)
 			}
-			if short < o.mt.CPUs/2 && !homeless {
+			if short < o.mt.CPUs/2 && own <= 0 {
 				continue
 			}
-			n := min(max(int(math.Ceil(short/o.mt.CPUs)), 1), wire.MaxHire)
+			n := min(max(int(math.Ceil(max(short, own)/o.mt.CPUs)), 1), wire.MaxHire)
 			// Spread over the zones: none gets more than its share at once.
-			n = max(1, (n+len(o.mt.Zones)-1)/len(o.mt.Zones))
+			if strandedIn == "" {
+				n = max(1, (n+len(o.mt.Zones)-1)/len(o.mt.Zones))
+			}
 			if f.pending(o.pool) || !f.spend() {
 				continue
 			}
@@ -492,8 +490,8 @@
 			f.hirings[req.Request] = &hiring{req: req}
 			c.emit(Hire{Request: req})
 			c.debugf("hiring", "request", req.Request, "type", o.typ, "zone", o.zone, "spot", o.spot, "count", n, "short", short)
-			homeless = false
 			cpus := float64(n) * o.mt.CPUs
+			own -= cpus
 			lackSoon -= cpus
 			lackDue -= cpus
 			if !o.spot {
@@ -503,29 +501,58 @@
 	}
 }
 
-// homeless reports whether a job has waiting tasks and no machine, up or on its
-// way, could ever take one.
-func (f *fleet) homeless(q *queued) bool {
+// stranded says in which zone (empty: any) a job lacks machines that may take its
+// tasks, however many there are for others, and how many CPUs it lacks there.
+func (f *fleet) stranded(q *queued) (zone string, lack float64) {
 	s := &q.j.rec.Spec
-	ok := func(typ, zone string, spot bool) bool {
-		mt := f.c.types()[typ]
-		rec := q.j.rec
-		if (s.OneZone || s.Spread) && len(rec.Zones) > 0 && zone != rec.Zones[0] && zone != rec.Zones[len(rec.Zones)-1] {
-			return false
+	zones := []string{s.Zone}
+	if len(q.j.rec.Zones) > 0 {
+		zones = q.j.rec.Zones
+	}
+	tasks := math.Ceil(float64(q.waiting()+len(q.flights)) / float64(len(zones)))
+	if s.Kind == wire.KindArray {
+		few := math.Ceil(tasks * q.pred / max(f.soonest(s), q.pred, 1))
+		if len(s.Types) == 0 && zones[0] == "" && s.Spot {
+			few = 1 // any machine will do: it takes part in the common demand
+		}
+		tasks = min(tasks, few)
+	}
+	for _, z := range zones {
+		have := 0.0
+		slots := func(typ, zone string, spot bool) float64 {
+			mt := f.c.types()[typ]
+			if mt == nil || !holds(mt, s) || !allows(s, typ) || z != "" && z != zone || spot && !s.Spot {
+				return 0
+			}
+			return slotsOf(mt, s)
 		}
-		return mt != nil && holds(mt, s) && allows(s, typ) && (s.Zone == "" || s.Zone == zone) && (!spot || s.Spot)
-	}
-	for _, h := range f.holds {
-		if f.counts(h) && ok(h.typ, h.zone, h.spot) {
-			return false
+		for _, h := range f.holds {
+			if f.counts(h) {
+				have += slots(h.typ, h.zone, h.spot)
+			}
+		}
+		for _, h := range f.hirings {
+			have += slots(h.req.Type, h.req.Zone, h.req.Spot) * float64(h.req.Count)
+		}
+		if have < tasks {
+			return z, (tasks - have) * max(s.CPUs, slack)
 		}
 	}
-	for _, h := range f.hirings {
-		if ok(h.req.Type, h.req.Zone, h.req.Spot) {
-			return false
+	return "", 0
+}
+
+// slotsOf is how many tasks of a job an empty machine holds.
+func slotsOf(mt *wire.MachineType, s *wire.Job) float64 {
+	slots := math.Inf(1)
+	for _, x := range [][2]float64{{mt.CPUs, s.CPUs}, {mt.GPUs, s.GPUs}, {mt.MemoryGB, s.MemoryGB}} {
+		if x[1] > 0 {
+			slots = min(slots, math.Floor(x[0]/x[1]+slack))
 		}
 	}
-	return true
+	if math.IsInf(slots, 1) {
+		return 1
+	}
+	return slots
 }
 
 func (f *fleet) pending(p pool) bool {
@@ -605,7 +632,7 @@
 //
 // Only machines that are up count: parking for the sake of those that still
 // boot left a full queue and empty machines.
-func (f *fleet) giveBack(d need) {
+func (f *fleet) giveBack(d need, waiting []*queued) {
 	c := f.c
 	f.parked = map[string]bool{}
 	var up []*hold
@@ -631,6 +658,9 @@
 		return load(up[a]) < load(up[b])
 	})
 	for _, h := range up {
+		if f.claimed(h, waiting) {
+			continue
+		}
 		v, mt := c.orch.rigs[h.name], c.types()[h.typ]
 		if h.spot && have-mt.CPUs < d.soon || !h.spot && (have-mt.CPUs < d.due || have-spot-mt.CPUs < d.firm) {
 			continue
@@ -653,6 +683,24 @@
 	}
 }
 
+// claimed reports whether a waiting job that few machines can serve, or that
+// needs many at once, could use a machine: however much room there is elsewhere,
+// it is not given back.
+func (f *fleet) claimed(h *hold, waiting []*queued) bool {
+	for _, q := range waiting {
+		s := &q.j.rec.Spec
+		zone := s.Zone == "" || s.Zone == h.zone
+		if len(q.j.rec.Zones) > 0 {
+			zone = slices.Contains(q.j.rec.Zones, h.zone)
+		}
+		picky := len(s.Types) > 0 || s.Zone != "" || s.OneZone || s.Spread || !s.Spot || s.Kind == wire.KindGang
+		if mt := f.c.types()[h.typ]; picky && zone && mt != nil && holds(mt, s) && allows(s, h.typ) && (!h.spot || s.Spot) {
+			return true
+		}
+	}
+	return false
+}
+
 // retire drains a machine and then returns it.
 func (f *fleet) retire(h *hold, why string) {
 	if h.leaving != "" {
--- /dev/null
+++ b/internal/core/gang.go
@@ -0,0 +1,105 @@
+package core
+
+import (
+	"fmt"
+
+	"github.com/chalkhub/chalkhub/internal/config"
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// holdGang has room held for all tasks of a gang, if there is room for all. A
+// gang that lost a task ends as a whole on its workers, so it is held anew only
+// when none of its tasks is left anywhere.
+func (o *orchestrator) holdGang(q *queued, rooms []*planned, cpus, gpus map[string]float64) {
+	s := &q.j.rec.Spec
+	if !o.startable(q, rooms) {
+		return
+	}
+	if len(q.flights) > 0 {
+		q.reason = "waits until the rest of its last start has ended"
+		return
+	}
+	n := q.waiting()
+	if o.overLimit(s, float64(n), cpus, gpus) {
+		q.reason = fmt.Sprintf("team %s is at its limit", s.Team)
+		return
+	}
+	plan := map[int]*planned{}
+	trial := make([]planned, len(rooms))
+	for i, m := range rooms {
+		trial[i] = *m
+	}
+	for i := range s.Tasks {
+		if q.over(i) {
+			continue
+		}
+		if q.hold[i] > o.c.now.Steady {
+			q.reason = q.failedWhere()
+			return
+		}
+		best := -1
+		for k := range trial {
+			m := &trial[k]
+			if m.fits(s) && mayRun(&q.j.rec, i, m.typ, m.zone, m.spot) && (best < 0 || better(&m.room, &trial[best].room, s.Image)) {
+				best = k
+			}
+		}
+		if best < 0 {
+			q.reason = "waits for room for all its tasks at once"
+			return
+		}
+		trial[best].take(s)
+		plan[i] = rooms[best]
+	}
+	for i := range s.Tasks {
+		if m := plan[i]; m != nil {
+			m.take(s)
+			o.send(q, i, m, true, cpus, gpus)
+		}
+	}
+	q.released, q.heldAt = false, o.c.now.Steady
+}
+
+// releaseGangs starts the gangs whose room is held in full, and lets go of those
+// that did not get it in time.
+func (o *orchestrator) releaseGangs() {
+	for _, id := range sortedKeys(o.queue) {
+		q := o.queue[id]
+		if q.j.rec.Spec.Kind != wire.KindGang || q.released || len(q.flights) == 0 || q.j.final() {
+			continue
+		}
+		held := 0
+		for _, f := range q.flights {
+			switch {
+			case f.limbo || f.machine == "":
+			case f.state == wire.StateHeld:
+				held++
+			default:
+				q.released = true // an earlier leader has started it
+			}
+		}
+		if q.released {
+			continue
+		}
+		late := o.c.now.Steady-q.heldAt > config.Seconds(o.c.set.Site.Workers.GangWaitS)/4
+		all := held == len(q.flights) && q.waiting() == 0
+		if !all && !late {
+			continue
+		}
+		q.released = all
+		for _, i := range sortedInts(q.flights) {
+			f := q.flights[i]
+			p := o.parts[f.part]
+			if p == nil || f.state != wire.StateHeld {
+				continue
+			}
+			try := wire.TaskTry{Task: wire.TaskName(q.id, i), Attempt: f.attempt, Machine: f.machine}
+			if all {
+				p.outbox.Release = append(p.outbox.Release, try)
+			} else {
+				p.outbox.Drop = append(p.outbox.Drop, try)
+			}
+			p.dirty = true
+		}
+	}
+}
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -225,3 +225,12 @@
 	sort.Strings(out)
 	return out
 }
+
+func sortedInts[V any](m map[int]V) []int {
+	out := make([]int, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Ints(out)
+	return out
+}
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -46,6 +46,8 @@
 	stopped  map[int]bool // tasks that were stopped: what is left of them says nothing of their duration
 	stops    int
 	stopWhy  string
+	released bool // a gang's tasks were told to start
+	heldAt   time.Duration
 }
 
 func (q *queued) waiting() int {
@@ -693,8 +695,13 @@
 	rooms := o.rooms()
 	cpus, gpus := o.use()
 	for _, q := range jobs {
-		o.dispatch(q, rooms, cpus, gpus)
+		if q.j.rec.Spec.Kind == wire.KindGang {
+			o.holdGang(q, rooms, cpus, gpus)
+		} else {
+			o.dispatch(q, rooms, cpus, gpus)
+		}
 	}
+	o.releaseGangs()
 	return jobs
 }
 
@@ -840,16 +847,9 @@
 func (o *orchestrator) dispatch(q *queued, rooms []*planned, cpus, gpus map[string]float64) {
 	c := o.c
 	s := &q.j.rec.Spec
-	if q.limbo {
-		q.reason = "waits until every machine has been seen after a change of leader"
+	if !o.startable(q, rooms) {
 		return
 	}
-	if (s.OneZone || s.Spread) && len(q.j.rec.Zones) == 0 {
-		o.chooseZones(q, rooms)
-		q.reason = "waits for its zone to be chosen"
-		return
-	}
-	team := c.team(s.Team)
 	var fitting []*planned
 	free := map[*partView]float64{}
 	for _, m := range rooms {
@@ -887,8 +887,7 @@
 			held++
 			continue
 		}
-		if team != nil && (team.CPUsMax > 0 && cpus[s.Team]+s.CPUs > team.CPUsMax+slack ||
-			team.GPUsMax > 0 && gpus[s.Team]+s.GPUs > team.GPUsMax+slack) {
+		if o.overLimit(s, 1, cpus, gpus) {
 			q.reason = fmt.Sprintf("team %s is at its limit", s.Team)
 			return
 		}
@@ -919,23 +918,56 @@
 			return
 		}
 		m.take(s)
-		cpus[s.Team] += s.CPUs
-		gpus[s.Team] += s.GPUs
-		o.counter++
-		f := &flight{job: q, index: i, attempt: o.epoch<<attemptBits | o.counter, guess: m.name, part: m.part.label, since: c.now.Steady}
-		name := wire.TaskName(q.id, i)
-		o.tasks[name] = f
-		q.flights[i] = f
+		o.send(q, i, m, false, cpus, gpus)
 		sent++
-		delete(q.hold, i)
-		m.part.outbox.Dispatch = append(m.part.outbox.Dispatch, wire.TaskTry{Task: name, Attempt: f.attempt})
-		m.part.dirty = true
 	}
 	if held > 0 {
 		q.reason = q.failedWhere()
 	}
 }
 
+// startable says why a job can't be dispatched yet, whatever the room.
+func (o *orchestrator) startable(q *queued, rooms []*planned) bool {
+	s := &q.j.rec.Spec
+	if q.limbo {
+		q.reason = "waits until every machine has been seen after a change of leader"
+		return false
+	}
+	if (s.OneZone || s.Spread) && len(q.j.rec.Zones) == 0 {
+		o.chooseZones(q, rooms)
+		q.reason = "waits for its zone to be chosen"
+		return false
+	}
+	return true
+}
+
+// overLimit reports whether n more tasks would take a team past its limit.
+func (o *orchestrator) overLimit(s *wire.Job, n float64, cpus, gpus map[string]float64) bool {
+	t := o.c.team(s.Team)
+	return t != nil && (t.CPUsMax > 0 && cpus[s.Team]+n*s.CPUs > t.CPUsMax+slack ||
+		t.GPUsMax > 0 && gpus[s.Team]+n*s.GPUs > t.GPUsMax+slack)
+}
+
+// send dispatches a task to the part that owns m; hold asks for that very
+// machine to keep room. The team's quota is debited here.
+func (o *orchestrator) send(q *queued, i int, m *planned, hold bool, cpus, gpus map[string]float64) {
+	s := &q.j.rec.Spec
+	cpus[s.Team] += s.CPUs
+	gpus[s.Team] += s.GPUs
+	o.counter++
+	f := &flight{job: q, index: i, attempt: o.epoch<<attemptBits | o.counter, guess: m.name, part: m.part.label, since: o.c.now.Steady}
+	name := wire.TaskName(q.id, i)
+	o.tasks[name] = f
+	q.flights[i] = f
+	delete(q.hold, i)
+	try := wire.TaskTry{Task: name, Attempt: f.attempt}
+	if hold {
+		try.Machine = m.name
+	}
+	m.part.outbox.Dispatch = append(m.part.outbox.Dispatch, try)
+	m.part.dirty = true
+}
+
 func (q *queued) failedWhere() string {
 	return fmt.Sprintf("its tasks failed on %d machines, trying again later", len(q.failedOn))
 }
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -16,7 +16,8 @@
 type phase int
 
 const (
-	phaseQueued   phase = iota // not sent yet
+	phaseHeld     phase = iota // has room, waits for the rest of its gang
+	phaseQueued                // not sent yet
 	phaseAnswered              // sent in the response to a report
 	phaseDirect                // sent by /do, outcome open
 	phaseListed                // the machine lists it
@@ -71,19 +72,21 @@
 
 // part owns the machines that the map gives this member.
 type part struct {
-	c        *Core
-	epoch    uint64
-	mine     bool // a member in this epoch
-	rigs     map[string]*rig
-	assigned []*placed // dispatched, no room found yet
-	returned []wire.TaskTry
-	link     uint64 // to the leader, 0: none
-	linkName string
-	full     bool // the leader needs the whole picture
-	lastSent time.Duration
-	lastRead time.Duration
-	doID     uint64
-	unfit    bool
+	c         *Core
+	epoch     uint64
+	mine      bool // a member in this epoch
+	rigs      map[string]*rig
+	assigned  []*placed // dispatched, no room found yet
+	returned  []wire.TaskTry
+	link      uint64 // to the leader, 0: none
+	linkName  string
+	full      bool // the leader needs the whole picture
+	lastSent  time.Duration
+	lastRead  time.Duration
+	doID      uint64
+	unfit     bool // reaches none of its machines
+	unfitTill time.Duration
+	since     time.Duration // of this epoch
 }
 
 const selfLink = ^uint64(0)
@@ -106,6 +109,7 @@
 		p.link = 0
 	}
 	if !p.mine {
+		p.fitness()
 		p.flush()
 		return
 	}
@@ -113,6 +117,7 @@
 		for _, name := range sortedKeys(p.rigs) {
 			p.tend(p.rigs[name])
 		}
+		p.fitness()
 		p.place()
 		for _, name := range sortedKeys(p.rigs) {
 			if r := p.rigs[name]; r.urgent && r.asking == 0 && r.trusted {
@@ -133,6 +138,7 @@
 	stayed := p.mine && e == p.epoch+1
 	p.epoch, p.mine = e, c.members.member()
 	p.assigned, p.returned, p.full = nil, nil, true
+	p.since = c.now.Steady
 	for name, rec := range c.ledger.machines {
 		p.machineKnown(name, rec)
 	}
@@ -148,7 +154,7 @@
 		r.draining = false
 		kept := r.tasks[:0]
 		for _, t := range r.tasks {
-			if t.phase != phaseQueued {
+			if t.phase > phaseQueued {
 				kept = append(kept, t)
 			}
 		}
@@ -343,7 +349,7 @@
 		// starts still under way carry the earlier session.
 		kept := r.tasks[:0]
 		for _, t := range r.tasks {
-			if t.phase == phaseQueued {
+			if t.phase <= phaseQueued {
 				kept = append(kept, t)
 			}
 		}
@@ -375,7 +381,7 @@
 		keep := t.stamp == r.stamp
 		switch {
 		case keep:
-		case t.phase == phaseQueued:
+		case t.phase <= phaseQueued:
 			keep = true
 		case t.phase == phaseAnswered:
 			// Executed before this report was made, or never; a message made
@@ -512,7 +518,7 @@
 		kept := r.tasks[:0]
 		for _, t := range r.tasks {
 			if t.ref == ref {
-				if t.phase == phaseQueued {
+				if t.phase <= phaseQueued {
 					p.returned = append(p.returned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
 					r.dirty = true
 					continue
@@ -608,6 +614,62 @@
 	p.assigned = waiting
 }
 
+// holdRoom keeps room on a machine for a task of a gang.
+func (p *part) holdRoom(machine string, t *placed, rec *wire.JobRecord) bool {
+	r := p.rigs[machine]
+	if r == nil || !r.open() || !mayRun(rec, t.index, r.typ, r.zone, r.spot) {
+		return false
+	}
+	if free := r.room(); !free.fits(t.spec) {
+		return false
+	}
+	t.phase, t.state = phaseHeld, wire.StateHeld
+	r.tasks = append(r.tasks, t)
+	r.dirty = true
+	return true
+}
+
+// settleHeld lets f decide which of the held tasks stay.
+func (p *part) settleHeld(list []wire.TaskTry, f func(*rig, *placed) bool) {
+	for _, x := range list {
+		r := p.rigs[x.Machine]
+		if r == nil {
+			continue
+		}
+		kept := r.tasks[:0]
+		for _, t := range r.tasks {
+			if t.phase != phaseHeld || t.task != x.Task || t.attempt != x.Attempt || f(r, t) {
+				kept = append(kept, t)
+			}
+		}
+		r.tasks = kept
+		r.dirty = true
+	}
+}
+
+// fitness gives the membership up when this node hears the leader but none of
+// its machines: others may reach them. It tries again after a lease.
+func (p *part) fitness() {
+	c := p.c
+	if p.unfit {
+		if c.now.Steady >= p.unfitTill {
+			p.unfit = false
+			c.info("joining again")
+		}
+		return
+	}
+	if !p.mine || len(p.rigs) < 2 || c.now.Steady-p.since < c.times.lease/3 {
+		return
+	}
+	for _, r := range p.rigs {
+		if c.now.Steady-r.heard < c.times.lease/3 {
+			return
+		}
+	}
+	p.unfit, p.unfitTill = true, c.now.Steady+2*c.times.lease
+	c.info("none of this node's machines can be heard, leaving the map", "machines", len(p.rigs))
+}
+
 // linkUp and linkDown follow the link to the leader. A new link starts with the
 // whole picture; nothing that was sent over an earlier one is read any more.
 func (p *part) linkUp(session uint64) {
@@ -642,8 +704,19 @@
 			p.returned = append(p.returned, wire.TaskTry{Task: d.Task, Attempt: d.Attempt})
 			continue
 		}
-		p.assigned = append(p.assigned, &placed{task: d.Task, ref: ref, index: index, attempt: d.Attempt, spec: &j.rec.Spec, since: c.now.Steady})
+		t := &placed{task: d.Task, ref: ref, index: index, attempt: d.Attempt, spec: &j.rec.Spec}
+		if d.Machine == "" {
+			t.since = c.now.Steady
+			p.assigned = append(p.assigned, t)
+		} else if !p.holdRoom(d.Machine, t, &j.rec) {
+			p.returned = append(p.returned, wire.TaskTry{Task: d.Task, Attempt: d.Attempt})
+		}
 	}
+	p.settleHeld(m.Release, func(r *rig, t *placed) bool {
+		t.phase, t.state, r.urgent = phaseQueued, "", true
+		return true
+	})
+	p.settleHeld(m.Drop, func(r *rig, t *placed) bool { return false })
 	for _, s := range m.Stop {
 		for _, r := range p.rigs {
 			for _, t := range r.tasks {
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -459,3 +459,43 @@
 	s.within(10*second, "the urgent tasks run", func() bool { return h.Running() == 8 })
 	s.within(10*second, "the report says why", func() bool { return strings.Contains(l.Answer.Reason, "more urgent work") })
 }
+
+// A gang starts only once room for all of its tasks is held; when one is lost,
+// the whole gang starts again.
+func TestGangStartsTogether(t *testing.T) {
+	for seed := range uint64(3) {
+		s := begin(t, 70+seed)
+		spec := fake.Array(20)
+		spec.Kind, spec.EstimateS = wire.KindGang, 30
+		spec.OneZone = seed == 1
+		spec.Spread = seed == 2
+		if seed == 1 {
+			spec.Zone = "a"
+		}
+		j := s.Users.Submit(spec, 30)
+		s.Users.Submit(fake.Array(10), 20)
+		s.within(120*second, "all tasks run", func() bool { return j.Running() == 20 })
+		s.Run(s.Now + 5*second)
+		if seed == 0 {
+			s.leader().Crash(3 * second)
+		} else {
+			s.Cloud.Remove(j.On(7))
+		}
+		s.within(300*second, "both jobs are done", s.Users.AllTold)
+	}
+}
+
+// A node that hears its leader but none of its machines leaves the map, so that
+// the work goes on through the others, and joins again later.
+func TestNodeThatReachesNoWorkerLeavesTheMap(t *testing.T) {
+	s := begin(t, 75)
+	jobs := []*fake.Job{}
+	for range 4 {
+		jobs = append(jobs, s.Users.Submit(fake.Array(16), 20))
+	}
+	s.within(60*second, "tasks run", func() bool { return jobs[0].Running() > 0 })
+	n := s.follower()
+	s.Cut(n.Label, "workers", false)
+	s.After(60*second, func() { s.Mend(n.Label, "workers") })
+	s.within(150*second, "every job is done", s.Users.AllTold)
+}
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -192,6 +192,45 @@
 	}
 }
 
+// gang lets a gang run once all of its tasks are on machines, and ends the task
+// if that takes too long or a peer is lost.
+func (u *Users) gang(k *Worker, t *Task) {
+	j := t.job
+	w := u.w
+	all := func() bool { return len(j.on)+len(j.done) >= j.Spec.Tasks }
+	wait := w.Now + config.Seconds(w.Set.Site.Workers.GangWaitS)
+	var watch func()
+	started, missing := time.Duration(0), time.Duration(0)
+	watch = func() {
+		if !t.on() || j.on[t.Name] != k.Info.Name {
+			return
+		}
+		switch {
+		case t.State == wire.TaskWaiting && all():
+			t.State, started = wire.TaskRunning, w.Now
+			k.changed()
+		case t.State == wire.TaskWaiting && w.Now > wait:
+			k.exit(t, wire.WhyAlone)
+			return
+		case t.State == wire.TaskRunning && !all():
+			if missing == 0 {
+				missing = w.Now
+			}
+			if w.Now-missing > config.Seconds(w.Set.Site.Workers.GangPeerS) {
+				k.exit(t, wire.WhyPeers)
+				return
+			}
+		case t.State == wire.TaskRunning && w.Now-started >= config.Seconds(j.RunS):
+			k.exit(t, wire.WhyDone)
+			return
+		default:
+			missing = 0
+		}
+		w.After(200*time.Millisecond, watch)
+	}
+	watch()
+}
+
 // AllTold reports whether every accepted job's user knows that it is over.
 func (u *Users) AllTold() bool {
 	for _, j := range u.jobs {
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -42,7 +42,9 @@
 }
 
 // on reports whether the task counts as being on its machine.
-func (t *Task) on() bool { return t.State == wire.TaskRunning || t.State == wire.TaskSaving }
+func (t *Task) on() bool {
+	return t.State == wire.TaskRunning || t.State == wire.TaskSaving || t.State == wire.TaskWaiting
+}
 
 func (t *Task) takesRoom() bool { return t.State != wire.TaskExited }
 
@@ -260,6 +262,13 @@
 			return
 		}
 		k.images[t.job.Spec.Image] = true
+		if t.job.Spec.Kind == wire.KindGang {
+			t.State = wire.TaskWaiting
+			u.arrived(k, t)
+			k.changed()
+			u.gang(k, t)
+			return
+		}
 		t.State = wire.TaskRunning
 		u.arrived(k, t)
 		k.changed()
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -15,6 +15,8 @@
 
 	Dispatch []TaskTry  `json:"dispatch,omitempty"`
 	Stop     []TaskStop `json:"stop,omitempty"`
+	Release  []TaskTry  `json:"release,omitempty"` // start what is held
+	Drop     []TaskTry  `json:"drop,omitempty"`    // let go what is held
 	Drain    []string   `json:"drain,omitempty"`
 	Undrain  []string   `json:"undrain,omitempty"`
 	Views    []JobView  `json:"views,omitempty"`
@@ -27,7 +29,12 @@
 	Boot  string `json:"boot"`
 }
 
-// TaskTry names one attempt of a task.
+// StateHeld is the state of a task that has its room and waits for Release: the
+// tasks of a gang start only once all of them are held.
+const StateHeld = "held"
+
+// TaskTry names one attempt of a task. In a dispatch with a machine, that
+// machine holds room for the task.
 type TaskTry struct {
 	Task    string `json:"task"`
 	Attempt uint64 `json:"try"`
