--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -36,7 +36,7 @@
 		ProgressShare:       0.4,
 		SpotShare:           1,
 		IdleBoots:           0.5,
-		HorizonShare:        0.4,
+		HorizonShare:        0.15,
 		SoonBoots:           1,
 		RushBoots:           1.5,
 		PreemptReports:      4,
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -388,7 +388,7 @@
 }
 
 // haste is how much of a job's time one miss in a hundred gives back.
-const haste = 2.5
+const haste = 6
 
 // offer is a pool with what a unit of work costs there.
 type offer struct {
