--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -20,6 +20,7 @@
 	listed          bool
 	missing         int // lists in a row that lacked it after it was listed
 	leaving         string
+	force           bool // deleted without waiting for its tasks to end
 	deleting        bool
 }
 
@@ -40,8 +41,9 @@
 	c         *Core
 	holds     map[string]*hold
 	hirings   map[string]*hiring
-	gone      map[string]bool // deleted, by the cloud's word
-	parked    map[string]bool // gets no new tasks, to be returned when empty
+	gone      map[string]bool          // deleted, by the cloud's word
+	parked    map[string]bool          // gets no new tasks, to be returned when empty
+	cuts      map[string]time.Duration // zones most of which is silent, since when
 	closed    map[pool]time.Duration
 	strikes   map[pool]int
 	counter   int
@@ -72,6 +74,7 @@
 	f.hirings = map[string]*hiring{}
 	f.gone = map[string]bool{}
 	f.parked = map[string]bool{}
+	f.cuts = map[string]time.Duration{}
 	f.coming = map[int]float64{}
 	f.burst = 0
 	f.closed = map[pool]time.Duration{}
@@ -191,22 +194,76 @@
 		return false
 	}
 	if v := f.c.orch.rigs[h.name]; v != nil {
-		return !(v.state.Sure && !v.state.Up) && !v.state.Notice && !v.sick
+		if f.lost(v) && !f.cutOff(h.zone) {
+			return false
+		}
+		return !v.state.Notice && !v.sick
 	}
 	return true
 }
 
+// lost reports whether a machine is neither heard nor able to do work.
+func (f *fleet) lost(v *rigView) bool { return v.state.Silent || v.state.Sure && !v.state.Up }
+
+// cutOff reports whether most of a zone went silent a short while ago: then it is
+// the network that fails, and machines hired instead would boot for longer than
+// most cuts last.
+func (f *fleet) cutOff(zone string) bool {
+	since, ok := f.cuts[zone]
+	return ok && f.c.now.Steady-since < 4*f.c.times.lease
+}
+
+// watchZones follows which zones are cut off.
+func (f *fleet) watchZones() {
+	lost, all := map[string]int{}, map[string]int{}
+	for _, v := range f.c.orch.rigs {
+		if v.state.Type == "" || v.upAt < 0 {
+			continue
+		}
+		all[v.state.Zone]++
+		if f.lost(v) {
+			lost[v.state.Zone]++
+		}
+	}
+	for zone, n := range all {
+		_, was := f.cuts[zone]
+		switch is := n >= 2 && lost[zone]*2 > n; {
+		case is && !was:
+			f.cuts[zone] = f.c.now.Steady
+			f.c.info("most of a zone is silent", "zone", zone, "silent", lost[zone], "machines", n)
+		case was && lost[zone]*4 < n:
+			delete(f.cuts, zone)
+		}
+	}
+}
+
+// seenElsewhere reports whether most of a machine's zone is heard, so that its
+// own silence means that it is dead and not that the network is.
+func (f *fleet) seenElsewhere(v *rigView) bool {
+	seen, all := 0, 0
+	for _, x := range f.c.orch.rigs {
+		if x != v && x.state.Zone == v.state.Zone {
+			all++
+			if x.state.Sure && x.state.Up && !x.state.Silent {
+				seen++
+			}
+		}
+	}
+	return seen > 0 && seen*2 >= all
+}
+
 // want compares the work that is queued with the machines there are, after each
 // round; jobs are those with waiting tasks, in rank order.
 func (f *fleet) want(jobs []*queued) {
 	c := f.c
 	for _, name := range sortedKeys(c.orch.rigs) {
-		if v := c.orch.rigs[name]; f.holds[name] == nil && !f.gone[name] && v.state.Up {
+		if v := c.orch.rigs[name]; f.holds[name] == nil && !f.gone[name] && (v.state.Up || c.ledger.machines[name] != nil) {
 			h := f.adopt(name, v.state.Type, v.state.Zone, v.state.Spot)
 			h.state = wire.MachineRunning
 		}
 	}
 	f.fade()
+	f.watchZones()
 	var have, spot float64
 	for _, h := range f.holds {
 		if mt := c.types()[h.typ]; mt != nil && f.counts(h) {
@@ -733,6 +790,16 @@
 			f.retire(h, "did not come up")
 		case v != nil && !up && v.state.Sure && c.now.Steady-v.emptyAt > 3*c.times.gone:
 			f.retire(h, "silent")
+		case v != nil && v.state.Silent && v.upAt >= 0 && f.seenElsewhere(v):
+			// Waiting for its lease to end would hold its tasks up for as long
+			// again; once the cloud has deleted it they are surely gone.
+			f.retire(h, "dead")
+			h.force = true
+		case v != nil && !v.state.Sure && c.now.Steady-c.orch.epochAt > 3*c.times.report && f.seenElsewhere(v):
+			// After a change of the map, the last machines that do not answer
+			// hold up everything that may be running on them.
+			f.retire(h, "does not answer")
+			h.force = true
 		}
 		if h.leaving == "" || h.deleting {
 			continue
@@ -742,11 +809,11 @@
 				p.outbox.Drain = append(p.outbox.Drain, name)
 				p.dirty = true
 			}
-			if age < time.Hour && !v.sick {
+			if !h.force && !v.sick {
 				continue
 			}
 		}
-		if v != nil && len(v.tasks) > 0 && h.leaving != "faulty" && h.state != wire.MachineFailed {
+		if v != nil && len(v.tasks) > 0 && !h.force && h.leaving != "faulty" && h.state != wire.MachineFailed {
 			continue
 		}
 		if len(names) < wire.MaxDelete {
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -97,7 +97,8 @@
 	on           bool
 	epoch        uint64 // the epoch this leader acts in, 0: none yet
 	epochAtStart uint64
-	startRev     uint64 // jobs newer than this were never dispatched before us
+	epochAt      time.Duration // when this leader entered the epoch
+	startRev     uint64        // jobs newer than this were never dispatched before us
 	parts        map[string]*partView
 	sessions     map[uint64]string // session -> label, "" before hello
 	rigs         map[string]*rigView
@@ -254,7 +255,7 @@
 		return
 	}
 	first := o.epoch == 0
-	o.epoch = rec.Epoch
+	o.epoch, o.epochAt = rec.Epoch, o.c.now.Steady
 	o.counter = 0
 	for _, v := range o.rigs {
 		v.state.Sure, v.state.Up = false, false
@@ -314,6 +315,9 @@
 
 // machine takes a part's picture of one machine.
 func (o *orchestrator) machine(p *partView, s *wire.MachineState) {
+	if o.c.fleet.wasDeleted(s.Name) {
+		return // the part has yet to hear of it
+	}
 	v := o.view(s.Name)
 	if v.mt == nil {
 		v.mt = o.c.types()[s.Type]
@@ -466,7 +470,7 @@
 func (o *orchestrator) unseen() []string {
 	var out []string
 	for _, name := range sortedKeys(o.c.ledger.machines) {
-		if v := o.rigs[name]; v == nil || !v.state.Sure {
+		if v := o.rigs[name]; (v == nil || !v.state.Sure) && !o.c.fleet.wasDeleted(name) {
 			out = append(out, name)
 		}
 	}
@@ -505,7 +509,7 @@
 		return
 	}
 	for name, v := range o.rigs {
-		if o.c.ledger.machines[name] == nil && o.c.fleet.wasDeleted(name) {
+		if o.c.fleet.wasDeleted(name) {
 			// Deleted by the cloud's word: it and its tasks are gone.
 			for _, t := range sortedKeys(v.tasks) {
 				o.land(t, v.tasks[t])
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -56,6 +56,7 @@
 	trusted      bool   // the newest message carried our token
 	answered     time.Duration
 	heard        time.Duration
+	silent       bool // not heard for half a lease
 	lapsed       bool // silent for so long that its worker has dropped everything
 	notice       bool
 	draining     bool
@@ -223,6 +224,12 @@
 		r.tasks = nil
 		r.dirty = true
 	}
+	if silent := c.now.Steady-r.heard > c.times.lease/2; silent != r.silent {
+		r.silent, r.dirty = silent, true
+	}
+	if r.trusted && r.asking == 0 && c.now.Steady-r.heard > 2*c.times.report && c.now.Steady >= r.askAgain {
+		p.do(r, nil) // it may only have trouble reaching us
+	}
 	if !r.trusted && r.asking == 0 && c.now.Steady >= r.askAgain && r.addr != "" && !r.lapsed {
 		p.do(r, nil)
 	}
@@ -783,7 +790,7 @@
 		Name: r.name, Addr: r.addr, Type: r.typ, Zone: r.zone, Spot: r.spot,
 		Sure: r.trusted || r.lapsed, Up: r.trusted && !r.lapsed && r.mt != nil,
 		Notice: r.notice, Draining: r.draining, Images: append([]string(nil), r.images...),
-		SilentS: (p.c.now.Steady - r.heard).Seconds(),
+		Silent: r.silent,
 	}
 	for _, t := range r.tasks {
 		s.Tasks = append(s.Tasks, wire.TaskState{Task: t.task, Attempt: t.attempt, State: t.state, Why: t.why, RanS: t.ranS})
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -499,3 +499,31 @@
 	s.After(60*second, func() { s.Mend(n.Label, "workers") })
 	s.within(150*second, "every job is done", s.Users.AllTold)
 }
+
+// A dead machine must not hold up a take-over for a whole lease: the cloud is
+// asked to delete it, and then its tasks are surely gone.
+func TestDeadMachineDoesNotHoldUpATakeOver(t *testing.T) {
+	s := begin(t, 76)
+	s.Cloud.Capacity["barn"] = 0
+	for range 4 {
+		s.Users.Submit(fake.Array(8), 40)
+	}
+	s.within(60*second, "several machines run tasks", func() bool { return len(s.Workers) >= 5 })
+	s.Run(s.Now + 5*second)
+	for _, k := range s.SomeWorkers(1) {
+		s.Cloud.Remove(k.Info.Name)
+	}
+	for _, n := range s.Nodes {
+		n.Crash(2 * second)
+	}
+	s.within(15*second, "every machine is seen or gone", func() bool {
+		n := 0
+		for _, l := range s.Logs {
+			if strings.Contains(l, "every machine has been seen") {
+				n++
+			}
+		}
+		return n > 0
+	})
+	s.within(300*second, "every job is done", s.Users.AllTold)
+}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -60,7 +60,7 @@
 	Up       bool        `json:"up,omitempty"`
 	Notice   bool        `json:"notice,omitempty"`
 	Draining bool        `json:"draining,omitempty"`
-	SilentS  float64     `json:"silent,omitempty"`
+	Silent   bool        `json:"silent,omitempty"` // not heard for half a lease, by report or /do
 	Images   []string    `json:"images,omitempty"`
 	Tasks    []TaskState `json:"tasks,omitempty"`
 }
