--- a/cmd/chalkhub/main.go
+++ b/cmd/chalkhub/main.go
@@ -112,11 +112,11 @@
 		siblings[s.Label] = s.Address
 	}
 	status := func() ([]byte, bool) {
-		r, ok := e.Ask(func(id core.RequestID) core.Command { return core.StatusPage{ID: id} }, time.Second)
+		s, ok := e.Status(time.Second)
 		if !ok {
 			return nil, false
 		}
-		b, err := json.Marshal(r.Body)
+		b, err := json.Marshal(s)
 		return b, err == nil
 	}
 	links := peer.New(siblings, report/10, report, e.Post, status)
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -6,6 +6,8 @@
 	"sort"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/chalkhub/chalkhub/internal/wire"
 )
 
@@ -112,10 +114,18 @@
 	saveDue      bool
 	saveAt       time.Duration
 	registering  bool
+	waits        [4]*hdrhistogram.Histogram // ms from submission to running, by urgency
 }
 
+// maxWait is the longest wait told apart, in ms.
+const maxWait = 3_600_000
+
 func newOrchestrator(c *Core) *orchestrator {
-	return &orchestrator{c: c, sessions: map[uint64]string{}, parts: map[string]*partView{}}
+	o := &orchestrator{c: c, sessions: map[uint64]string{}, parts: map[string]*partView{}}
+	for i := range o.waits {
+		o.waits[i] = hdrhistogram.New(1, maxWait, 2)
+	}
+	return o
 }
 
 func (o *orchestrator) leadership(on bool) {
@@ -395,6 +405,8 @@
 	f.machine, f.part, f.limbo, f.attempt, f.state = s.Name, p.label, false, t.Attempt, t.State
 	if t.State == wire.TaskRunning && f.runAt == 0 {
 		f.runAt = o.c.now.Steady
+		wait := (o.c.now.Wall - j.rec.At) * 1000
+		_ = o.waits[urgency(j.rec.Spec.Urgency)].RecordValue(min(max(int64(wait), 1), maxWait)) // within bounds
 	}
 	v.tasks[t.Task] = f
 }
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -1,5 +1,11 @@
 package core
 
+import (
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
 // Status is the operators' picture of a node.
 type Status struct {
 	Label    string             `json:"label"`
@@ -14,6 +20,22 @@
 	Teams    map[string]float64 `json:"team_cpus,omitempty"`
 	Desired  float64            `json:"desired_cpus,omitempty"`
 	Means    map[string]float64 `json:"estimates,omitempty"`
+	Waits    map[string]Spread  `json:"task_waits_ms,omitempty"`
+	Answers  Spread             `json:"answers_ms"` // of this node, filled in by the engine
+}
+
+// Spread is what a histogram holds, in short.
+type Spread struct {
+	N   int64 `json:"n"`
+	P50 int64 `json:"p50"`
+	P90 int64 `json:"p90"`
+	P99 int64 `json:"p99"`
+	Max int64 `json:"max"`
+}
+
+// SpreadOf sums up a histogram.
+func SpreadOf(h *hdrhistogram.Histogram) Spread {
+	return Spread{N: h.TotalCount(), P50: h.ValueAtQuantile(50), P90: h.ValueAtQuantile(90), P99: h.ValueAtQuantile(99), Max: h.Max()}
 }
 
 // Machine is one of this member's machines.
@@ -56,6 +78,12 @@
 		s.Teams, _ = c.orch.use()
 		s.Desired = c.fleet.desired
 		s.Means = map[string]float64{}
+		s.Waits = map[string]Spread{}
+		for u, name := range []string{wire.UrgencyProduction, wire.UrgencyHigh, wire.UrgencyNormal, wire.UrgencyLow} {
+			if h := c.orch.waits[u]; h.TotalCount() > 0 {
+				s.Waits[name] = SpreadOf(h)
+			}
+		}
 		for k, m := range c.est.names {
 			s.Means[k] = m.mean
 		}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/chalkhub/chalkhub/internal/core"
 )
 
@@ -53,13 +55,14 @@
 	mu      sync.Mutex
 	nextID  core.RequestID
 	waiting map[core.RequestID]chan core.Reply
+	answers *hdrhistogram.Histogram // ms
 }
 
 // New makes an engine. Outside is set before Run.
 func New(c *core.Core, log *slog.Logger) *Engine {
 	return &Engine{
 		core: c, log: log, queue: make(chan core.Command, 4096), start: time.Now(),
-		waiting: map[core.RequestID]chan core.Reply{},
+		waiting: map[core.RequestID]chan core.Reply{}, answers: hdrhistogram.New(1, 60_000, 2),
 	}
 }
 
@@ -79,6 +82,7 @@
 // the given time; ok is false if none came or the queue was full.
 func (e *Engine) Ask(build func(core.RequestID) core.Command, timeout time.Duration) (r core.Reply, ok bool) {
 	ch := make(chan core.Reply, 1)
+	begin := time.Now()
 	e.mu.Lock()
 	e.nextID++
 	id := e.nextID
@@ -87,6 +91,7 @@
 	defer func() {
 		e.mu.Lock()
 		delete(e.waiting, id)
+		_ = e.answers.RecordValue(min(max(time.Since(begin).Milliseconds(), 1), 60_000)) // within bounds
 		e.mu.Unlock()
 	}()
 	select {
@@ -104,6 +109,19 @@
 	}
 }
 
+// Status asks the core for its picture and adds the answer times.
+func (e *Engine) Status(timeout time.Duration) (*core.Status, bool) {
+	r, ok := e.Ask(func(id core.RequestID) core.Command { return core.StatusPage{ID: id} }, timeout)
+	if !ok {
+		return nil, false
+	}
+	s := r.Body.(*core.Status)
+	e.mu.Lock()
+	s.Answers = core.SpreadOf(e.answers)
+	e.mu.Unlock()
+	return s, true
+}
+
 // Run works until ctx ends.
 func (e *Engine) Run(ctx context.Context) error {
 	timer := time.NewTimer(0)
