--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -76,7 +76,7 @@
 		m.asking = true
 		c.emit(Lease{Lease: m.lease, TTL: c.times.ttl})
 	}
-	ready := m.entitled() && len(c.ledger.types) > 0
+	ready := m.entitled()
 	if ready != m.readyNow || !m.readySaid {
 		m.readyNow, m.readySaid = ready, true
 		c.emit(Ready{Yes: ready})
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -527,3 +527,25 @@
 	})
 	s.within(300*second, "every job is done", s.Users.AllTold)
 }
+
+// A node is ready as soon as it is entitled. It once waited for the machine types
+// as well, and the load balancer, which looks once a second, had no node for the
+// first users of the day.
+func TestReadyBeforeTheCloudAnswers(t *testing.T) {
+	s := &story{World: fake.New(77, 3), t: t}
+	for _, n := range s.Nodes {
+		s.Cut(n.Label, "cloud", false)
+	}
+	s.within(second, "every node is ready", func() bool {
+		return s.Nodes[0].Ready && s.Nodes[1].Ready && s.Nodes[2].Ready
+	})
+	j := s.Users.Submit(fake.Array(2), 5)
+	s.Run(s.Now + 3*second)
+	if j.Accepted || j.Refused != 0 {
+		t.Fatalf("a node decided without knowing the machine types: %+v", j)
+	}
+	for _, n := range s.Nodes {
+		s.Mend(n.Label, "cloud")
+	}
+	s.within(60*second, "the job is done", s.Users.AllTold)
+}
