Place by image before price, now that dear machines are parked

Cause: fetches are no useful work; with cheap machines first, tasks went to cold cheap machines while warm ones had room. Ruled out: fullest first alone.

--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -876,12 +876,12 @@
 	}
 	sort.SliceStable(fitting, func(a, b int) bool {
 		x, y := fitting[a], fitting[b]
-		if x.spot != y.spot {
-			return x.spot
-		}
 		if hx, hy := x.has(s.Image), y.has(s.Image); hx != hy {
 			return hx
 		}
+		if x.spot != y.spot {
+			return x.spot
+		}
 		if x.part != y.part && free[x.part] != free[y.part] {
 			return free[x.part] > free[y.part]
 		}
--- a/internal/core/room.go
+++ b/internal/core/room.go
@@ -66,16 +66,17 @@
 	return true
 }
 
-// better reports whether a is the better room of two that fit: first a cheap one,
-// so that dear ones empty and can be returned, then one that holds the image,
-// then the one that is left with less (consolidated).
+// better reports whether a is the better room of two that fit: first one that
+// holds the image, since a fetch is paid and waited for, then a cheap one, then
+// the one that is left with less (consolidated). Dear machines that are not
+// needed are parked and do not come here.
 func better(a, b *room, image string) bool {
-	if a.spot != b.spot {
-		return a.spot
-	}
 	if x, y := a.has(image), b.has(image); x != y {
 		return x
 	}
+	if a.spot != b.spot {
+		return a.spot
+	}
 	if a.cpus != b.cpus {
 		return a.cpus < b.cpus
 	}
