All tasks of a gang share one attempt

Cause: with real processes a gang's three tasks waited on one machine and ended incomplete again and again; workers tell one start of a gang from another by the attempt, and each task had its own. Ruled out: room and zones (all three were listed as waiting).

--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -51,10 +51,14 @@
 		trial[best].take(s)
 		plan[i] = rooms[best]
 	}
+	// The workers tell a gang's start from an earlier one by the attempt, so all
+	// of its tasks share one: with a number each they waited for one another for
+	// ever.
+	attempt := o.newAttempt()
 	for i := range s.Tasks {
 		if m := plan[i]; m != nil {
 			m.take(s)
-			o.send(q, i, m, true, cpus, gpus)
+			o.send(q, i, m, attempt, true, cpus, gpus)
 		}
 	}
 	q.released, q.heldAt = false, o.c.now.Steady
@@ -87,7 +91,7 @@
 			continue
 		}
 		q.released = all
-		for _, i := range sortedInts(q.flights) {
+		for _, i := range sortedKeys(q.flights) {
 			f := q.flights[i]
 			p := o.parts[f.part]
 			if p == nil || f.state != wire.StateHeld {
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -1,7 +1,8 @@
 package core
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -217,20 +218,11 @@
 	}
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	out := make([]string, 0, len(m))
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	out := make([]K, 0, len(m))
 	for k := range m {
 		out = append(out, k)
 	}
-	sort.Strings(out)
-	return out
-}
-
-func sortedInts[V any](m map[int]V) []int {
-	out := make([]int, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Ints(out)
+	slices.Sort(out)
 	return out
 }
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -934,7 +934,7 @@
 			return
 		}
 		m.take(s)
-		o.send(q, i, m, false, cpus, gpus)
+		o.send(q, i, m, o.newAttempt(), false, cpus, gpus)
 		sent++
 	}
 	if held > 0 {
@@ -964,14 +964,20 @@
 		t.GPUsMax > 0 && gpus[s.Team]+n*s.GPUs > t.GPUsMax+slack)
 }
 
+// newAttempt gives a number that no start has had, without a write: the epoch and
+// a count within it.
+func (o *orchestrator) newAttempt() uint64 {
+	o.counter++
+	return o.epoch<<attemptBits | o.counter
+}
+
 // send dispatches a task to the part that owns m; hold asks for that very
 // machine to keep room. The team's quota is debited here.
-func (o *orchestrator) send(q *queued, i int, m *planned, hold bool, cpus, gpus map[string]float64) {
+func (o *orchestrator) send(q *queued, i int, m *planned, attempt uint64, hold bool, cpus, gpus map[string]float64) {
 	s := &q.j.rec.Spec
 	cpus[s.Team] += s.CPUs
 	gpus[s.Team] += s.GPUs
-	o.counter++
-	f := &flight{job: q, index: i, attempt: o.epoch<<attemptBits | o.counter, guess: m.name, part: m.part.label, since: o.c.now.Steady}
+	f := &flight{job: q, index: i, attempt: attempt, guess: m.name, part: m.part.label, since: o.c.now.Steady}
 	name := wire.TaskName(q.id, i)
 	o.tasks[name] = f
 	q.flights[i] = f
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -197,7 +197,15 @@
 func (u *Users) gang(k *Worker, t *Task) {
 	j := t.job
 	w := u.w
-	all := func() bool { return len(j.on)+len(j.done) >= j.Spec.Tasks }
+	all := func() bool { // of this very start
+		n := len(j.done)
+		for name, m := range j.on {
+			if other := w.Workers[m]; other != nil && other.attempt(name) == t.Attempt {
+				n++
+			}
+		}
+		return n >= j.Spec.Tasks
+	}
 	wait := w.Now + config.Seconds(w.Set.Site.Workers.GangWaitS)
 	var watch func()
 	started, missing := time.Duration(0), time.Duration(0)
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -286,6 +286,16 @@
 	return true
 }
 
+// attempt is the attempt of a task that is on the machine, or 0.
+func (k *Worker) attempt(task string) uint64 {
+	for _, t := range k.Tasks {
+		if t.Name == task && t.on() {
+			return t.Attempt
+		}
+	}
+	return 0
+}
+
 // later runs f if the task is still here by then.
 func (k *Worker) later(t *Task, d time.Duration, f func()) {
 	k.w.After(d, func() {
