Huge jobs: count the waiting tasks once a round, keep to the transaction limit

Cause: found by reading: the count was taken anew for each task, which is quadratic for a job of 100,000 tasks; a small txn_ops would have made a final state impossible to write.

--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -336,6 +336,10 @@
 	l.c.emit(Reply{ID: id, Status: 503, Body: wire.ErrorAnswer{Error: why}, RetryAfter: time.Second})
 }
 
+func (l *ledger) unknown(id RequestID) {
+	l.c.emit(Reply{ID: id, Status: 404, Body: wire.ErrorAnswer{Error: "no such job"}})
+}
+
 func (l *ledger) answer(id RequestID, status int, j *job) {
 	a := wire.JobAnswer{ID: j.rec.Spec.ID, State: j.rec.State, Done: j.doneN, Reason: j.rec.Bad}
 	if !j.final() {
@@ -363,7 +367,7 @@
 		case !ok:
 			l.later(id, "the state service does not answer")
 		case j == nil:
-			l.c.emit(Reply{ID: id, Status: 404, Body: wire.ErrorAnswer{Error: "no such job"}})
+			l.unknown(id)
 		default:
 			l.answer(id, 200, j)
 		}
@@ -372,7 +376,7 @@
 
 func (l *ledger) query(id RequestID, ref string) {
 	if !wire.ValidJobID(ref) {
-		l.c.emit(Reply{ID: id, Status: 404, Body: wire.ErrorAnswer{Error: "no such job"}})
+		l.unknown(id)
 		return
 	}
 	l.known(id, ref)
@@ -456,7 +460,7 @@
 
 func (l *ledger) abort(id RequestID, ref string, tries int) {
 	if !wire.ValidJobID(ref) {
-		l.c.emit(Reply{ID: id, Status: 404, Body: wire.ErrorAnswer{Error: "no such job"}})
+		l.unknown(id)
 		return
 	}
 	l.barrier(func(ok bool) {
@@ -466,7 +470,7 @@
 			l.later(id, "the state service does not answer")
 			return
 		case j == nil:
-			l.c.emit(Reply{ID: id, Status: 404, Body: wire.ErrorAnswer{Error: "no such job"}})
+			l.unknown(id)
 			return
 		case j.final():
 			l.answer(id, 200, j)
@@ -474,7 +478,7 @@
 		}
 		rec := finalRecord(j, wire.JobCancelled, "cancelled by its user")
 		guards := []wire.Guard{{Key: keyJob + ref, Version: j.version}}
-		l.commit(guards, finalOps(j, rec), func(d CommitDone) {
+		l.commit(guards, l.finalOps(j, rec), func(d CommitDone) {
 			switch {
 			case d.Status == 200:
 				l.c.emit(Reply{ID: id, Status: 200, Body: wire.JobAnswer{ID: ref, State: wire.JobCancelled, Done: j.doneN}})
@@ -497,11 +501,12 @@
 	}
 }
 
-// finalOps writes a job's final state and drops its progress.
-func finalOps(j *job, rec wire.JobRecord) []wire.Op {
+// finalOps writes a job's final state and drops its progress, as far as one
+// transaction goes.
+func (l *ledger) finalOps(j *job, rec wire.JobRecord) []wire.Op {
 	ops := []wire.Op{{Put: keyJob + rec.Spec.ID, Value: rec}}
 	for b := 0; b <= wire.MaxTasks/progressBlock; b++ {
-		if j.blocks[b] > 0 {
+		if j.blocks[b] > 0 && len(ops) < l.c.set.Site.State.TxnOps {
 			ops = append(ops, wire.Op{Delete: progressKey(rec.Spec.ID, b)})
 		}
 	}
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -622,7 +622,7 @@
 	q.ending = true
 	j := q.j
 	guards := []wire.Guard{o.c.members.leaderGuard(), {Key: keyJob + q.id, Version: j.version}}
-	o.c.ledger.commit(guards, finalOps(j, finalRecord(j, wire.JobDone, "")), func(d CommitDone) {
+	o.c.ledger.commit(guards, o.c.ledger.finalOps(j, finalRecord(j, wire.JobDone, "")), func(d CommitDone) {
 		again := func(bool) { q.ending = false }
 		if d.Status == 200 || d.Status == 409 {
 			o.c.ledger.barrier(again)
@@ -655,7 +655,7 @@
 	guards := []wire.Guard{o.c.members.leaderGuard(), {Key: keyJob + q.id, Version: q.j.version}}
 	var ops []wire.Op
 	for b := range wire.MaxTasks/progressBlock + 1 {
-		if s := sets[b]; s != nil {
+		if s := sets[b]; s != nil && len(ops) < o.c.set.Site.State.TxnOps {
 			ops = append(ops, wire.Op{Put: progressKey(q.id, b), Value: wire.ProgressRecord{Bits: s.Text()}})
 		}
 	}
@@ -895,7 +895,10 @@
 			}
 		}()
 	}
-	for i := 0; i < s.Tasks && q.waiting() > 0; i++ {
+	// Counted once: counting anew for each task of a huge job took the round's
+	// whole share of the processor.
+	left := q.waiting()
+	for i := 0; i < s.Tasks && sent < left; i++ {
 		if q.flights[i] != nil || q.over(i) {
 			continue
 		}
