Whatever lists a task holds it; members that hear no machine stay away longer

Ruled out: tokens and attempts (both lists were honest). A task is now held by every machine that lists it.

--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -75,7 +75,7 @@
 		held := 0
 		for _, f := range q.flights {
 			switch {
-			case f.limbo || f.machine == "":
+			case f.limbo || f.open || f.machine == "":
 			case f.state == wire.StateHeld:
 				held++
 			default:
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -16,8 +16,10 @@
 	job     *queued
 	index   int
 	attempt uint64
-	machine string // where the part has put it, empty: not told yet
-	guess   string // where the plan saw room for it
+	machine string          // where it is, as far as is known
+	claims  map[string]bool // every machine that lists it, surely or perhaps
+	open    bool            // dispatched, the part has not told where to
+	guess   string          // where the plan saw room for it
 	part    string
 	limbo   bool // its part is gone and it may be on any machine not seen yet
 	state   string
@@ -251,7 +253,8 @@
 		o.machine(p, &m.Machines[i])
 	}
 	for _, t := range m.Returned {
-		if f := o.tasks[t.Task]; f != nil && f.attempt == t.Attempt && f.machine == "" && !f.limbo {
+		if f := o.tasks[t.Task]; f != nil && f.attempt == t.Attempt && f.open {
+			f.open = false
 			o.land(t.Task, f)
 		}
 	}
@@ -276,8 +279,8 @@
 	// What was dispatched but not yet seen on a machine may be on any machine
 	// of a part that is gone; it counts as running until all are seen.
 	for _, f := range o.tasks {
-		if f.machine == "" {
-			f.limbo = true
+		if f.open {
+			f.open, f.limbo = false, true
 		}
 	}
 	for _, p := range o.parts {
@@ -317,7 +320,8 @@
 		}
 	}
 	for _, name := range sortedKeys(o.tasks) {
-		if f := o.tasks[name]; f.part == p.label && f.machine == "" && !f.limbo && !have[name] {
+		if f := o.tasks[name]; f.part == p.label && f.open && !have[name] {
+			f.open = false
 			o.land(name, f)
 		}
 	}
@@ -347,7 +351,7 @@
 	if s.Sure {
 		for _, name := range sortedKeys(v.tasks) {
 			if !listed[name] {
-				o.land(name, v.tasks[name])
+				o.release(name, v.tasks[name], v)
 			}
 		}
 	}
@@ -386,23 +390,21 @@
 				return
 			}
 		}
-		f = &flight{job: q, index: index, attempt: t.Attempt, since: o.c.now.Steady}
+		f = &flight{job: q, index: index, attempt: t.Attempt, since: o.c.now.Steady, claims: map[string]bool{}}
 		o.tasks[t.Task] = f
 		q.flights[index] = f
 	}
-	if f.machine == "" && f.attempt != t.Attempt && !f.limbo {
-		return // not ours to judge: the dispatch under way is settled first
-	}
-	if f.machine != "" && f.machine != s.Name {
-		if f.attempt == t.Attempt || o.rigs[f.machine] == nil {
-			if old := o.rigs[f.machine]; old != nil {
-				delete(old.tasks, t.Task)
-			}
-		} else {
+	// Whatever lists a task holds it, even if another machine is thought to have
+	// it: an old list of a dead machine once hid the machine that really ran it,
+	// and the task was started again when the dead one was deleted.
+	f.claims[s.Name] = true
+	v.tasks[t.Task] = f
+	if f.attempt != t.Attempt {
+		if other := o.rigs[f.machine]; f.open || !s.Sure || other != nil && other.state.Sure && f.machine != s.Name {
 			return
 		}
 	}
-	f.machine, f.part, f.limbo, f.attempt, f.state = s.Name, p.label, false, t.Attempt, t.State
+	f.machine, f.part, f.limbo, f.open, f.attempt, f.state = s.Name, p.label, false, false, t.Attempt, t.State
 	if t.State == wire.TaskRunning && f.runAt == 0 {
 		f.runAt = o.c.now.Steady
 		wait := (o.c.now.Wall - j.rec.At) * 1000
@@ -463,12 +465,26 @@
 	}
 }
 
-// land credits a flight: its task is surely on no machine.
+// release takes back a machine's claim on a task: it surely is not there.
+func (o *orchestrator) release(name string, f *flight, v *rigView) {
+	delete(v.tasks, name)
+	delete(f.claims, v.state.Name)
+	if f.machine == v.state.Name {
+		f.machine, f.state = "", ""
+		for _, m := range sortedKeys(f.claims) {
+			f.machine = m
+		}
+	}
+	o.land(name, f)
+}
+
+// land credits a flight if its task is surely on no machine and on its way to
+// none.
 func (o *orchestrator) land(name string, f *flight) {
-	delete(o.tasks, name)
-	if v := o.rigs[f.machine]; v != nil {
-		delete(v.tasks, name)
+	if f.open || f.limbo || len(f.claims) > 0 {
+		return
 	}
+	delete(o.tasks, name)
 	q := f.job
 	if q.flights[f.index] == f {
 		delete(q.flights, f.index)
@@ -506,6 +522,7 @@
 	}
 	for _, name := range sortedKeys(o.tasks) {
 		if f := o.tasks[name]; f.limbo {
+			f.limbo = false
 			o.land(name, f)
 		}
 	}
@@ -524,7 +541,7 @@
 		if o.c.fleet.wasDeleted(name) {
 			// Deleted by the cloud's word: it and its tasks are gone.
 			for _, t := range sortedKeys(v.tasks) {
-				o.land(t, v.tasks[t])
+				o.release(t, v.tasks[t], v)
 			}
 			delete(o.rigs, name)
 		}
@@ -733,7 +750,7 @@
 func (o *orchestrator) rooms() []*planned {
 	guessed := map[string][]*flight{}
 	for _, f := range o.tasks {
-		if f.machine == "" && f.guess != "" && !f.limbo {
+		if f.open {
 			guessed[f.guess] = append(guessed[f.guess], f)
 		}
 	}
@@ -980,7 +997,8 @@
 	s := &q.j.rec.Spec
 	cpus[s.Team] += s.CPUs
 	gpus[s.Team] += s.GPUs
-	f := &flight{job: q, index: i, attempt: attempt, guess: m.name, part: m.part.label, since: o.c.now.Steady}
+	f := &flight{job: q, index: i, attempt: attempt, guess: m.name, part: m.part.label, since: o.c.now.Steady,
+		open: true, claims: map[string]bool{}}
 	name := wire.TaskName(q.id, i)
 	o.tasks[name] = f
 	q.flights[i] = f
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -87,6 +87,7 @@
 	doID      uint64
 	unfit     bool // reaches none of its machines
 	unfitTill time.Duration
+	unfits    int           // in a row
 	since     time.Duration // of this epoch
 }
 
@@ -670,10 +671,17 @@
 	}
 	for _, r := range p.rigs {
 		if c.now.Steady-r.heard < c.times.lease/3 {
+			if r.trusted {
+				p.unfits = 0
+			}
 			return
 		}
 	}
-	p.unfit, p.unfitTill = true, c.now.Steady+2*c.times.lease
+	// Each time in vain it stays away for twice as long: when it is the machines
+	// that are dead, leaving and joining in turn kept every new owner from ever
+	// finding that out.
+	p.unfit, p.unfitTill = true, c.now.Steady+2*c.times.lease<<min(p.unfits, 6)
+	p.unfits++
 	c.info("none of this node's machines can be heard, leaving the map", "machines", len(p.rigs))
 }
 
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -14,7 +14,10 @@
 
 // seeds is raised by hand to look for rarer interleavings:
 // go test ./internal/core -run Overlap -seeds 1000
-var seeds = flag.Uint64("seeds", 12, "how many overlapping days are drawn")
+var (
+	seeds     = flag.Uint64("seeds", 80, "how many overlapping days are drawn")
+	firstSeed = flag.Uint64("seed", 0, "the first of them")
+)
 
 // story runs a world and fails on any broken rule.
 type story struct {
@@ -41,7 +44,7 @@
 func (s *story) rules() {
 	s.t.Helper()
 	if len(s.Broken) > 0 {
-		s.t.Fatalf("broken rules:\n%s", strings.Join(s.Broken, "\n"))
+		s.t.Fatalf("broken rules:\n%s\n%s", strings.Join(s.Broken, "\n"), strings.Join(s.Logs, "\n"))
 	}
 }
 
@@ -389,10 +392,12 @@
 	s.within(120*second, "progress is told", func() bool { return j.Answer.Done > 100 })
 }
 
-// Whatever overlaps: crashes, cuts, lost machines, lost answers, outages.
+// Whatever overlaps: crashes, cuts, lost machines, lost answers, outages. Seed 72 is
+// the day on which the old list of a dead machine hid where a task really ran.
 func TestTroublesOverlap(t *testing.T) {
-	for seed := range *seeds {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 		s := begin(t, 100+seed)
+		t.Logf("seed %d", seed)
 		s.Loss = 0.01
 		s.State.LateShare, s.State.LateBy = 0.03, 5*second
 		r := s.Rand
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -30,7 +30,8 @@
 	Broken  []string      // rules that were broken, and how
 	Latency time.Duration // one way
 	// Loss is the share of calls whose request or answer is lost.
-	Loss float64
+	Loss  float64
+	Debug bool // keep debug lines too, from the next start of a node on
 	// Logs keeps the nodes' log lines, for a story that asks for them.
 	Logs []string
 
@@ -255,7 +256,7 @@
 			set.Siblings = append(set.Siblings, s)
 		}
 	}
-	n.Core = core.New(&set, n.w.Policy, fmt.Sprintf("%s.%d", n.Label, n.life), false)
+	n.Core = core.New(&set, n.w.Policy, fmt.Sprintf("%s.%d", n.Label, n.life), n.w.Debug)
 	n.started = n.w.Now
 	n.waiting = map[core.RequestID]func(core.Reply){}
 	n.queue, n.woken, n.target = nil, false, ""
