--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -25,6 +25,7 @@
 	Accepted  bool
 	Refused   int // the final refusal's status
 	Told      string
+	toldAt    time.Duration
 	Answer    wire.JobAnswer
 	aborting  bool
 	Cancelled time.Duration // when its user was told
@@ -69,11 +70,12 @@
 }
 
 func (u *Users) send(j *Job) {
+	sent := u.w.Now
 	u.ask(func(id core.RequestID) core.Command { return core.Submit{ID: id, Job: j.Spec} }, func(r core.Reply) {
 		switch r.Status {
 		case 200, 201:
 			j.Accepted = true
-			u.hear(j, r.Body.(wire.JobAnswer))
+			u.hear(j, r.Body.(wire.JobAnswer), sent)
 			u.w.After(time.Second, func() { u.poll(j) })
 		case 400, 422:
 			if j.Accepted {
@@ -90,10 +92,11 @@
 func (u *Users) Resubmit(j *Job) { u.send(j) }
 
 func (u *Users) poll(j *Job) {
+	sent := u.w.Now
 	u.ask(func(id core.RequestID) core.Command { return core.Query{ID: id, Job: j.Spec.ID} }, func(r core.Reply) {
 		switch r.Status {
 		case 200:
-			u.hear(j, r.Body.(wire.JobAnswer))
+			u.hear(j, r.Body.(wire.JobAnswer), sent)
 		case 404:
 			u.w.broke("forgotten", "%s is answered 404", j.Spec.ID)
 		}
@@ -104,17 +107,23 @@
 // Abort cancels a job, again and again until that is confirmed.
 func (u *Users) Abort(j *Job) {
 	j.aborting = true
+	sent := u.w.Now
 	u.ask(func(id core.RequestID) core.Command { return core.Abort{ID: id, Job: j.Spec.ID} }, func(r core.Reply) {
 		if r.Status != 200 {
 			u.w.After(time.Second, func() { u.Abort(j) })
 			return
 		}
-		u.hear(j, r.Body.(wire.JobAnswer))
+		u.hear(j, r.Body.(wire.JobAnswer), sent)
 	})
 }
 
-// hear takes what a node says of a job.
-func (u *Users) hear(j *Job, a wire.JobAnswer) {
+// hear takes what a node says of a job in answer to a request sent at that time.
+// An answer to a request from before the last word was heard may be older than
+// that word: both were under way at once.
+func (u *Users) hear(j *Job, a wire.JobAnswer, sent time.Duration) {
+	if sent < j.toldAt {
+		return
+	}
 	final := func(s string) bool { return s == wire.JobDone || s == wire.JobCancelled }
 	if final(j.Told) && a.State != j.Told {
 		u.w.broke("went_back", "%s was %s and is called %s", j.Spec.ID, j.Told, a.State)
@@ -133,7 +142,7 @@
 			}
 		})
 	}
-	j.Told, j.Answer = a.State, a
+	j.Told, j.Answer, j.toldAt = a.State, a, u.w.Now
 }
 
 // arrived and left follow the tasks on their machines.
