Remove dead fields and say the same things once

Nothing drained was ever undrained, and two fields were written but never read; a queued job was built in two places, a map comparison is the library's, and two stories began alike. Behaviour and assertions are as they were.

--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -171,7 +172,7 @@
 	if !settled && (missing || rec == nil && len(want) < c.set.Site.InitialSize) {
 		return
 	}
-	if m.epoch() > c.orch.epochAtStart && sameMembers(rec.Members, want) {
+	if m.epoch() > c.orch.epochAtStart && maps.Equal(rec.Members, want) {
 		return
 	}
 	next := wire.MapRecord{Epoch: 1, Leader: c.set.Label, Members: want}
@@ -189,18 +190,6 @@
 	})
 }
 
-func sameMembers(a, b map[string]string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for k, v := range a {
-		if b[k] != v {
-			return false
-		}
-	}
-	return true
-}
-
 func (m *membership) leased(d LeaseDone) {
 	m.asking = false
 	switch d.Status {
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -42,7 +42,6 @@
 	choosing bool // its zones are being written
 	saveAt   time.Duration
 	writing  bool
-	running  int
 	reason   string
 	said     wire.JobView
 	pred     float64
@@ -54,6 +53,13 @@
 	heldAt   time.Duration
 }
 
+func newQueued(j *job) *queued {
+	return &queued{
+		j: j, id: j.rec.Spec.ID, flights: map[int]*flight{}, finished: map[int]bool{},
+		hold: map[int]time.Duration{}, failedOn: map[string]bool{}, stopped: map[int]bool{},
+	}
+}
+
 func (q *queued) waiting() int {
 	return q.j.rec.Spec.Tasks - q.j.doneN - q.undurable() - len(q.flights)
 }
@@ -81,7 +87,6 @@
 	upAt    time.Duration
 	errors  map[string]bool // jobs that failed here since the last success
 	sick    bool
-	started bool   // has ever completed or run a task
 	listed  uint64 // the epoch in which its part has listed it, 0: it no longer does
 }
 
@@ -166,10 +171,7 @@
 		return
 	}
 	if q == nil {
-		q = &queued{
-			j: j, id: id, flights: map[int]*flight{}, finished: map[int]bool{},
-			hold: map[int]time.Duration{}, failedOn: map[string]bool{}, stopped: map[int]bool{},
-		}
+		q = newQueued(j)
 		q.limbo = j.version <= o.startRev
 		o.queue[id] = q
 		if !q.limbo {
@@ -391,7 +393,7 @@
 		q := o.queue[ref]
 		if q == nil {
 			if j.final() {
-				q = &queued{j: j, id: ref, flights: map[int]*flight{}, finished: map[int]bool{}, hold: map[int]time.Duration{}, failedOn: map[string]bool{}, stopped: map[int]bool{}}
+				q = newQueued(j)
 				o.queue[ref] = q
 			} else {
 				return
@@ -440,7 +442,6 @@
 			o.c.est.add(&j.rec.Spec, t.RanS)
 		}
 		v.errors = map[string]bool{}
-		v.started = true
 	case wire.WhyStopped:
 		q.stopped[index] = true
 	case wire.WhyError:
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -747,11 +747,6 @@
 			r.draining, r.dirty = true, true
 		}
 	}
-	for _, name := range m.Undrain {
-		if r := p.rigs[name]; r != nil && r.draining {
-			r.draining, r.dirty = false, true
-		}
-	}
 }
 
 // flush tells the leader what has changed.
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -41,6 +41,17 @@
 	return s
 }
 
+// busy begins a story in which three jobs have been under way for a while.
+func busy(t *testing.T, seed uint64, d time.Duration) *story {
+	t.Helper()
+	s := begin(t, seed)
+	for range 3 {
+		s.Users.Submit(fake.Array(12), 15)
+	}
+	s.Run(s.Now + d)
+	return s
+}
+
 func (s *story) rules() {
 	s.t.Helper()
 	if len(s.Broken) > 0 {
@@ -150,11 +161,7 @@
 // stop answering them before the others give their tasks away.
 func TestNodeRefusedByTheStateService(t *testing.T) {
 	for seed := range uint64(4) {
-		s := begin(t, 10+seed)
-		for range 3 {
-			s.Users.Submit(fake.Array(12), 15)
-		}
-		s.Run(s.Now + 20*second)
+		s := busy(t, 10+seed, 20*second)
 		n := s.Nodes[seed%3]
 		s.State.Refuses[n.Label] = true
 		s.After(40*second, func() { delete(s.State.Refuses, n.Label) })
@@ -165,11 +172,7 @@
 // A cut that keeps packets delivers old commands and reports when it ends.
 func TestCutDeliversOldPackets(t *testing.T) {
 	for seed := range uint64(4) {
-		s := begin(t, 20+seed)
-		for range 3 {
-			s.Users.Submit(fake.Array(12), 15)
-		}
-		s.Run(s.Now + 18*second)
+		s := busy(t, 20+seed, 18*second)
 		n := s.Nodes[seed%3]
 		ends := []string{"state", s.Nodes[(seed+1)%3].Label, s.Nodes[(seed+2)%3].Label}
 		for _, e := range ends {
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -18,7 +18,6 @@
 	Release  []TaskTry  `json:"release,omitempty"` // start what is held
 	Drop     []TaskTry  `json:"drop,omitempty"`    // let go what is held
 	Drain    []string   `json:"drain,omitempty"`
-	Undrain  []string   `json:"undrain,omitempty"`
 	Views    []JobView  `json:"views,omitempty"`
 	Resync   bool       `json:"resync,omitempty"` // the whole picture again, please
 }
