A whole picture says which dispatches it takes account of

Cause: a part sends its whole picture in the middle of a link (a machine was deleted, or the leader asked again) while dispatches to it are under way. The leader took what the picture lacked for lost and started it a second time. With hundreds of machines some are deleted every few seconds, and a busy node reads late. Every message to a part now has a number, and a picture carries the last one read.

--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -21,7 +21,9 @@
 	open    bool            // dispatched, the part has not told where to
 	guess   string          // where the plan saw room for it
 	part    string
-	limbo   bool // its part is gone and it may be on any machine not seen yet
+	session uint64 // the link that its dispatch went over
+	seq     uint64 // and the message that carried it
+	limbo   bool   // its part is gone and it may be on any machine not seen yet
 	state   string
 	since   time.Duration
 	runAt   time.Duration // when it was first seen running, 0: not yet
@@ -97,6 +99,7 @@
 	heard       time.Duration
 	synced      uint64 // epoch of the last whole picture
 	unfit       bool
+	sent        uint64 // messages sent over the session
 	outbox      wire.PeerMessage
 	dirty       bool
 }
@@ -210,7 +213,7 @@
 		o.c.emit(PeerClose{Session: p.session})
 		delete(o.sessions, p.session)
 	}
-	p.boot, p.session, p.heard, p.synced = h.Boot, session, o.c.now.Steady, 0
+	p.boot, p.session, p.heard, p.synced, p.sent = h.Boot, session, o.c.now.Steady, 0, 0
 	p.outbox, p.dirty = wire.PeerMessage{}, false
 	for _, q := range o.queue {
 		q.said = wire.JobView{} // a new listener knows nothing yet
@@ -312,6 +315,9 @@
 // whole compares a part's whole picture with what was dispatched to it: what is
 // neither on one of its machines nor assigned there was lost with an earlier
 // link and will never be read.
+//
+// Guards against taking a dispatch for lost that is still on its way: a picture
+// made before the part had read it once had hundreds of tasks started twice.
 func (o *orchestrator) whole(p *partView, m *wire.PeerMessage) {
 	for _, v := range o.rigs {
 		if v.part == p.label {
@@ -328,7 +334,7 @@
 		}
 	}
 	for _, name := range sortedKeys(o.tasks) {
-		if f := o.tasks[name]; f.part == p.label && f.open && !have[name] {
+		if f := o.tasks[name]; f.part == p.label && f.open && !have[name] && (f.session != p.session || f.seq <= m.Read) {
 			f.open = false
 			o.land(name, f)
 		}
@@ -577,7 +583,8 @@
 	for _, label := range sortedKeys(o.parts) {
 		if p := o.parts[label]; p.dirty && p.session != 0 {
 			m := p.outbox
-			m.Epoch = o.epoch
+			p.sent++
+			m.Epoch, m.Seq = o.epoch, p.sent
 			p.outbox, p.dirty = wire.PeerMessage{}, false
 			if p.session == selfLink {
 				o.c.loop = append(o.c.loop, func() { o.c.part.fromLeader(&m) })
@@ -1010,7 +1017,7 @@
 	cpus[s.Team] += s.CPUs
 	gpus[s.Team] += s.GPUs
 	f := &flight{job: q, index: i, attempt: attempt, guess: m.name, part: m.part.label, since: o.c.now.Steady,
-		open: true, claims: map[string]bool{}}
+		session: m.part.session, seq: m.part.sent + 1, open: true, claims: map[string]bool{}}
 	name := wire.TaskName(q.id, i)
 	o.tasks[name] = f
 	q.flights[i] = f
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -84,6 +84,7 @@
 	full      bool // the leader needs the whole picture
 	lastSent  time.Duration
 	lastRead  time.Duration
+	lastSeq   uint64 // of the leader's messages over the link
 	doID      uint64
 	unfit     bool // reaches none of its machines
 	unfitTill time.Duration
@@ -105,7 +106,7 @@
 		p.newEpoch(e)
 	}
 	if c.members.leading && p.link != selfLink {
-		p.link, p.full = selfLink, true
+		p.link, p.full, p.lastSeq = selfLink, true, 0
 		c.orch.linkUp(selfLink)
 	} else if !c.members.leading && p.link == selfLink {
 		p.link = 0
@@ -688,7 +689,7 @@
 // linkUp and linkDown follow the link to the leader. A new link starts with the
 // whole picture; nothing that was sent over an earlier one is read any more.
 func (p *part) linkUp(session uint64) {
-	p.link, p.full = session, true
+	p.link, p.full, p.lastSeq = session, true, 0
 	p.lastRead = p.c.now.Steady
 	p.c.emit(PeerSend{Session: session, Message: wire.PeerMessage{Hello: &wire.Hello{Label: p.c.set.Label, Boot: p.c.boot}}})
 }
@@ -702,7 +703,7 @@
 // fromLeader takes the leader's orders; those of another epoch are void.
 func (p *part) fromLeader(m *wire.PeerMessage) {
 	c := p.c
-	p.lastRead = c.now.Steady
+	p.lastRead, p.lastSeq = c.now.Steady, m.Seq
 	for _, v := range m.Views {
 		if j := c.ledger.accepted(v.Job); j != nil {
 			j.view = v
@@ -763,7 +764,7 @@
 	}
 	m := wire.PeerMessage{Epoch: p.epoch, Unfit: p.unfit}
 	if p.full {
-		m.Full = true
+		m.Full, m.Read = true, p.lastSeq
 		for _, t := range p.assigned {
 			m.Assigned = append(m.Assigned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
 		}
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -562,3 +562,26 @@
 	}
 	s.within(60*second, "the job is done", s.Users.AllTold)
 }
+
+// A whole picture that a part made before it had read a dispatch must not pass
+// for the loss of that dispatch.
+func TestPictureCrossesDispatch(t *testing.T) {
+	s := begin(t, 31)
+	s.PeerLatency = 400 * time.Millisecond
+	for range 12 {
+		s.Cloud.Add("barn", "a", true)
+	}
+	for i := range 60 {
+		s.At(s.Now+time.Duration(i)*second/2, func() {
+			s.Users.Submit(fake.Array(20), 4)
+			for _, k := range s.SomeWorkers(1) {
+				if i%3 == 0 {
+					s.Cloud.Remove(k.Info.Name)
+					s.Cloud.Add("barn", "a", true)
+				}
+			}
+		})
+	}
+	s.Run(s.Now + 60*second)
+	s.rules()
+}
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -29,6 +29,9 @@
 	Users   *Users
 	Broken  []string      // rules that were broken, and how
 	Latency time.Duration // one way
+	// PeerLatency is added to every message between controllers, as by a busy
+	// node that is slow to read.
+	PeerLatency time.Duration
 	// Loss is the share of calls whose request or answer is lost.
 	Loss  float64
 	Debug bool // keep debug lines too, from the next start of a node on
@@ -467,7 +470,7 @@
 	if from == l.a {
 		to = l.b
 	}
-	l.last = max(l.last, l.w.Now+l.w.delay())
+	l.last = max(l.last, l.w.Now+l.w.delay()+l.w.PeerLatency)
 	l.w.At(l.last, to.inLife(func() {
 		if l.w.peers[l.id] == l && !l.silent {
 			to.Post(core.PeerLine{Session: l.id, Message: m})
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -6,6 +6,8 @@
 // epoch is void.
 type PeerMessage struct {
 	Epoch    uint64         `json:"epoch"`
+	Seq      uint64         `json:"seq,omitempty"`  // counts the leader's messages over a link
+	Read     uint64         `json:"read,omitempty"` // with Full: the last of them that the picture takes account of
 	Hello    *Hello         `json:"hello,omitempty"`
 	Full     bool           `json:"full,omitempty"` // Machines and Assigned are complete
 	Machines []MachineState `json:"machines,omitempty"`
