--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -20,7 +21,8 @@
 	listed          bool
 	missing         int // lists in a row that lacked it after it was listed
 	leaving         string
-	force           bool // deleted without waiting for its tasks to end
+	load            float64 // tasks for each of its CPUs
+	force           bool    // deleted without waiting for its tasks to end
 	deleting        bool
 }
 
@@ -39,11 +41,14 @@
 // fleet rents, adopts and returns machines. Only the leader's acts.
 type fleet struct {
 	c         *Core
-	holds     map[string]*hold
+	holds     *index[*hold]
 	hirings   map[string]*hiring
 	gone      map[string]bool          // deleted, by the cloud's word
 	parked    map[string]bool          // gets no new tasks, to be returned when empty
 	cuts      map[string]time.Duration // zones most of which is silent, since when
+	heard     map[string]int           // machines by zone that are heard and up,
+	known     map[string]int           // of so many
+	count     map[pool]int             // machines that are or will be of use
 	closed    map[pool]time.Duration
 	strikes   map[pool]int
 	counter   int
@@ -70,7 +75,7 @@
 
 // start begins a leader's work without any memory of an earlier one.
 func (f *fleet) start() {
-	f.holds = map[string]*hold{}
+	f.holds = newIndex[*hold]()
 	f.hirings = map[string]*hiring{}
 	f.gone = map[string]bool{}
 	f.parked = map[string]bool{}
@@ -145,7 +150,7 @@
 func (f *fleet) wasDeleted(name string) bool { return f.gone[name] }
 
 func (f *fleet) leaving(name string) bool {
-	h := f.holds[name]
+	h := f.holds.get(name)
 	return f.gone[name] || h != nil && h.leaving != ""
 }
 
@@ -168,15 +173,15 @@
 		if f.gone[m.Name] {
 			continue
 		}
-		h := f.holds[m.Name]
+		h := f.holds.get(m.Name)
 		if h == nil {
 			h = f.adopt(m.Name, m.Type, m.Zone, m.Spot)
 			h.since = c.now.Steady - config.Seconds(m.AgeS) - f.lag()
 		}
 		h.listed, h.state, h.missing = true, m.State, 0
 	}
-	for _, name := range sortedKeys(f.holds) {
-		if h := f.holds[name]; !seen[name] && h.listed {
+	for name, h := range f.holds.all() {
+		if !seen[name] && h.listed {
 			h.missing++
 		}
 	}
@@ -184,7 +189,7 @@
 
 func (f *fleet) adopt(name, typ, zone string, spot bool) *hold {
 	h := &hold{name: name, typ: typ, zone: zone, spot: spot, since: f.c.now.Steady}
-	f.holds[name] = h
+	f.holds.set(name, h)
 	return h
 }
 
@@ -193,7 +198,7 @@
 	if h.leaving != "" || h.state == wire.MachineFailed || h.missing >= 2 {
 		return false
 	}
-	if v := f.c.orch.rigs[h.name]; v != nil {
+	if v := f.c.orch.rigs.get(h.name); v != nil {
 		if f.lost(v) && !f.cutOff(h.zone) {
 			return false
 		}
@@ -216,7 +221,12 @@
 // watchZones follows which zones are cut off.
 func (f *fleet) watchZones() {
 	lost, all := map[string]int{}, map[string]int{}
-	for _, v := range f.c.orch.rigs {
+	f.heard, f.known = map[string]int{}, map[string]int{}
+	for _, v := range f.c.orch.rigs.all() {
+		f.known[v.state.Zone]++
+		if v.state.Sure && v.state.Up && !v.state.Silent {
+			f.heard[v.state.Zone]++
+		}
 		if v.state.Type == "" || v.upAt < 0 {
 			continue
 		}
@@ -240,55 +250,58 @@
 // seenElsewhere reports whether most of a machine's zone is heard, so that its
 // own silence means that it is dead and not that the network is.
 func (f *fleet) seenElsewhere(v *rigView) bool {
-	seen, all := 0, 0
-	for _, x := range f.c.orch.rigs {
-		if x != v && x.state.Zone == v.state.Zone {
-			all++
-			if x.state.Sure && x.state.Up && !x.state.Silent {
-				seen++
-			}
-		}
+	seen, all := f.heard[v.state.Zone], f.known[v.state.Zone]-1
+	if v.state.Sure && v.state.Up && !v.state.Silent {
+		seen--
 	}
 	return seen > 0 && seen*2 >= all
 }
 
 // want compares the work that is queued with the machines there are, after each
-// round; jobs are those with waiting tasks, in rank order.
-func (f *fleet) want(jobs []*queued) {
+// round; ranked is every unfinished job and waiting those that had tasks to
+// dispatch, both in rank order.
+func (f *fleet) want(ranked, waiting []*queued) {
 	c := f.c
-	for _, name := range sortedKeys(c.orch.rigs) {
-		if v := c.orch.rigs[name]; f.holds[name] == nil && !f.gone[name] && (v.state.Up || c.ledger.machines[name] != nil) {
+	for name, v := range c.orch.rigs.all() {
+		if f.holds.get(name) == nil && !f.gone[name] && (v.state.Up || c.ledger.machines.get(name) != nil) {
 			h := f.adopt(name, v.state.Type, v.state.Zone, v.state.Spot)
 			h.state = wire.MachineRunning
 		}
 	}
 	f.fade()
 	f.watchZones()
-	var have, spot float64
-	for _, h := range f.holds {
-		if mt := c.types()[h.typ]; mt != nil && f.counts(h) {
-			have += mt.CPUs
-			if h.spot {
-				spot += mt.CPUs
-			}
+	f.count = map[pool]int{}
+	for _, h := range f.holds.all() {
+		if f.counts(h) {
+			f.count[pool{h.typ, h.zone, h.spot}]++
 		}
 	}
-	for _, h := range f.hirings {
-		if mt := c.types()[h.req.Type]; mt != nil {
-			have += mt.CPUs * float64(h.req.Count)
-			if h.req.Spot {
-				spot += mt.CPUs * float64(h.req.Count)
+	var have, spot float64
+	for p, n := range f.all() {
+		if mt := c.types()[p.typ]; mt != nil {
+			have += mt.CPUs * float64(n)
+			if p.spot {
+				spot += mt.CPUs * float64(n)
 			}
 		}
 	}
-	d := f.demand(have)
+	d := f.demand(ranked)
 	f.desired = d.soon
 	c.debugf("demand", "soon", d.soon, "due", d.due, "firm", d.firm, "have", have, "spot", spot, "inflow", f.coming)
-	f.hire(jobs, d, have, spot)
-	f.giveBack(d, jobs)
+	f.hire(waiting, d, have, spot)
+	f.giveBack(d, waiting)
 	f.drop()
 }
 
+// all counts the machines of each pool, those being hired too.
+func (f *fleet) all() map[pool]int {
+	n := maps.Clone(f.count)
+	for _, h := range f.hirings {
+		n[pool{h.req.Type, h.req.Zone, h.req.Spot}] += h.req.Count
+	}
+	return n
+}
+
 // need is how many CPUs the unfinished work should have. soon is for work to be
 // done as soon as a cheap machine pays; due for it to be done in time, which is
 // worth an ordinary machine; firm is the share of due that may not run on cheap
@@ -299,12 +312,12 @@
 // what a job waits for is all that ranks before it, and what of that kind is
 // still to come while it waits: due is the capacity at which the worst-off job
 // is just in time.
-func (f *fleet) demand(have float64) need {
+func (f *fleet) demand(ranked []*queued) need {
 	c := f.c
 	var d need
 	soon := map[string]float64{}
 	var ahead, firm float64
-	for _, q := range c.orch.ranked() {
+	for _, q := range ranked {
 		s := &q.j.rec.Spec
 		waiting := float64(max(q.waiting(), 0))
 		flying := float64(len(q.flights))
@@ -460,10 +473,8 @@
 	c := f.c
 	stay := 6 * c.times.lease.Seconds()
 	inZone := map[string]int{}
-	for _, h := range f.holds {
-		if f.counts(h) {
-			inZone[h.zone]++
-		}
+	for p, n := range f.count {
+		inZone[p.zone] += n
 	}
 	var out []offer
 	for _, name := range sortedKeys(c.types()) {
@@ -583,13 +594,8 @@
 			}
 			return slotsOf(mt, s)
 		}
-		for _, h := range f.holds {
-			if f.counts(h) {
-				have += slots(h.typ, h.zone, h.spot)
-			}
-		}
-		for _, h := range f.hirings {
-			have += slots(h.req.Type, h.req.Zone, h.req.Spot) * float64(h.req.Count)
+		for p, n := range f.all() {
+			have += slots(p.typ, p.zone, p.spot) * float64(n)
 		}
 		if have < tasks {
 			return z, (tasks - have) * max(s.CPUs, slack)
@@ -632,7 +638,7 @@
 	case 200:
 		delete(f.hirings, d.Request)
 		for _, n := range d.Names {
-			if f.holds[n] == nil && !f.gone[n] {
+			if f.holds.get(n) == nil && !f.gone[n] {
 				f.adopt(n, p.typ, p.zone, p.spot).state = wire.MachineBooting
 			}
 		}
@@ -676,8 +682,17 @@
 
 // refused says which capacity a job waits for, if every pool has refused.
 func (f *fleet) refused(s *wire.Job) string {
-	if len(f.closed) == 0 || len(f.offers(s, false)) > 0 {
-		return ""
+	for name, mt := range f.c.types() {
+		if !allows(s, name) || !holds(mt, s) {
+			continue
+		}
+		for _, z := range mt.Zones {
+			spot := s.Spot && mt.SpotPrice > 0
+			if (s.Zone == "" || s.Zone == z) &&
+				(f.closed[pool{name, z, false}] <= f.c.now.Steady || spot && f.closed[pool{name, z, true}] <= f.c.now.Steady) {
+				return ""
+			}
+		}
 	}
 	return "the cloud has no machine of the allowed types to give"
 }
@@ -694,9 +709,8 @@
 	f.parked = map[string]bool{}
 	var up []*hold
 	var have, spot float64
-	for _, name := range sortedKeys(f.holds) {
-		h := f.holds[name]
-		v := c.orch.rigs[name]
+	for name, h := range f.holds.all() {
+		v := c.orch.rigs.get(name)
 		if h.leaving == "" && v != nil && v.state.Up && v.upAt >= 0 && c.types()[h.typ] != nil {
 			up = append(up, h)
 			if f.counts(h) {
@@ -707,18 +721,21 @@
 			}
 		}
 	}
-	load := func(h *hold) float64 { return float64(len(c.orch.rigs[h.name].tasks)) / c.types()[h.typ].CPUs }
+	for _, h := range up {
+		h.load = float64(len(c.orch.rigs.get(h.name).tasks)) / c.types()[h.typ].CPUs
+	}
 	sort.SliceStable(up, func(a, b int) bool {
 		if up[a].spot != up[b].spot {
 			return up[b].spot
 		}
-		return load(up[a]) < load(up[b])
+		return up[a].load < up[b].load
 	})
+	waiting = slices.DeleteFunc(slices.Clone(waiting), func(q *queued) bool { return !picky(q) })
 	for _, h := range up {
 		if f.claimed(h, waiting) {
 			continue
 		}
-		v, mt := c.orch.rigs[h.name], c.types()[h.typ]
+		v, mt := c.orch.rigs.get(h.name), c.types()[h.typ]
 		if h.spot && have-mt.CPUs < d.soon || !h.spot && (have-mt.CPUs < d.due || have-spot-mt.CPUs < d.firm) {
 			continue
 		}
@@ -740,6 +757,12 @@
 	}
 }
 
+// picky reports whether few machines can serve a job, or it needs many at once.
+func picky(q *queued) bool {
+	s := &q.j.rec.Spec
+	return len(s.Types) > 0 || s.Zone != "" || s.OneZone || s.Spread || !s.Spot || s.Kind == wire.KindGang
+}
+
 // claimed reports whether a waiting job that few machines can serve, or that
 // needs many at once, could use a machine: however much room there is elsewhere,
 // it is not given back.
@@ -750,8 +773,7 @@
 		if len(q.j.rec.Zones) > 0 {
 			zone = slices.Contains(q.j.rec.Zones, h.zone)
 		}
-		picky := len(s.Types) > 0 || s.Zone != "" || s.OneZone || s.Spread || !s.Spot || s.Kind == wire.KindGang
-		if mt := f.c.types()[h.typ]; picky && zone && mt != nil && holds(mt, s) && allows(s, h.typ) && (!h.spot || s.Spot) {
+		if mt := f.c.types()[h.typ]; zone && mt != nil && holds(mt, s) && allows(s, h.typ) && (!h.spot || s.Spot) {
 			return true
 		}
 	}
@@ -772,9 +794,8 @@
 func (f *fleet) drop() {
 	c := f.c
 	var names []string
-	for _, name := range sortedKeys(f.holds) {
-		h := f.holds[name]
-		v := c.orch.rigs[name]
+	for name, h := range f.holds.all() {
+		v := c.orch.rigs.get(name)
 		mt := c.types()[h.typ]
 		up := v != nil && v.state.Up
 		age := c.now.Steady - h.since
@@ -824,7 +845,7 @@
 		return
 	}
 	for _, n := range names {
-		f.holds[n].deleting = true
+		f.holds.get(n).deleting = true
 	}
 	c.emit(Delete{Names: names})
 }
@@ -832,14 +853,14 @@
 func (f *fleet) deleted(d DeleteDone) {
 	if d.Status != 200 {
 		for _, n := range d.Names {
-			if h := f.holds[n]; h != nil {
+			if h := f.holds.get(n); h != nil {
 				h.deleting = false
 			}
 		}
 		return
 	}
 	for _, n := range d.Names {
-		delete(f.holds, n)
+		f.holds.delete(n)
 		f.gone[n] = true
 	}
 	f.unregister()
@@ -852,8 +873,8 @@
 		return
 	}
 	var ops []wire.Op
-	for _, n := range sortedKeys(f.gone) {
-		if c.ledger.machines[n] != nil && len(ops) < c.set.Site.State.TxnOps {
+	for n := range c.ledger.machines.all() {
+		if f.gone[n] && len(ops) < c.set.Site.State.TxnOps {
 			ops = append(ops, wire.Op{Delete: keyMachine + n})
 		}
 	}
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -10,9 +10,9 @@
 // holdGang has room held for all tasks of a gang, if there is room for all. A
 // gang that lost a task ends as a whole on its workers, so it is held anew only
 // when none of its tasks is left anywhere.
-func (o *orchestrator) holdGang(q *queued, rooms []*planned, cpus, gpus map[string]float64) {
+func (o *orchestrator) holdGang(q *queued, p *plan) {
 	s := &q.j.rec.Spec
-	if !o.startable(q, rooms) {
+	if !o.startable(q, p) {
 		return
 	}
 	if len(q.flights) > 0 {
@@ -20,13 +20,13 @@
 		return
 	}
 	n := q.waiting()
-	if o.overLimit(s, float64(n), cpus, gpus) {
+	if o.overLimit(s, float64(n), p) {
 		q.reason = fmt.Sprintf("team %s is at its limit", s.Team)
 		return
 	}
-	plan := map[int]*planned{}
-	trial := make([]planned, len(rooms))
-	for i, m := range rooms {
+	chosen := map[int]*planned{}
+	trial := make([]planned, len(p.rooms))
+	for i, m := range p.rooms {
 		trial[i] = *m
 	}
 	for i := range s.Tasks {
@@ -49,16 +49,16 @@
 			return
 		}
 		trial[best].take(s)
-		plan[i] = rooms[best]
+		chosen[i] = p.rooms[best]
 	}
 	// The workers tell a gang's start from an earlier one by the attempt, so all
 	// of its tasks share one: with a number each they waited for one another for
 	// ever.
 	attempt := o.newAttempt()
 	for i := range s.Tasks {
-		if m := plan[i]; m != nil {
+		if m := chosen[i]; m != nil {
 			m.take(s)
-			o.send(q, i, m, attempt, true, cpus, gpus)
+			o.send(q, i, m, attempt, true, p)
 		}
 	}
 	q.released, q.heldAt = false, o.c.now.Steady
@@ -67,8 +67,7 @@
 // releaseGangs starts the gangs whose room is held in full, and lets go of those
 // that did not get it in time.
 func (o *orchestrator) releaseGangs() {
-	for _, id := range sortedKeys(o.queue) {
-		q := o.queue[id]
+	for id, q := range o.queue.all() {
 		if q.j.rec.Spec.Kind != wire.KindGang || q.released || len(q.flights) == 0 || q.j.final() {
 			continue
 		}
@@ -97,7 +96,7 @@
 			if p == nil || f.state != wire.StateHeld {
 				continue
 			}
-			try := wire.TaskTry{Task: wire.TaskName(q.id, i), Attempt: f.attempt, Machine: f.machine}
+			try := wire.TaskTry{Task: wire.TaskName(id, i), Attempt: f.attempt, Machine: f.machine}
 			if all {
 				p.outbox.Release = append(p.outbox.Release, try)
 			} else {
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -61,7 +61,7 @@
 	nodes    map[string]wire.NodeRecord
 	leader   *wire.LeaderRecord
 	mapRec   *wire.MapRecord
-	machines map[string]*wire.MachineRecord
+	machines *index[*wire.MachineRecord]
 	types    map[string]*wire.MachineType
 	estimate *wire.EstimateRecord
 
@@ -81,7 +81,7 @@
 	l.jobs = map[string]*job{}
 	l.nodes = map[string]wire.NodeRecord{}
 	l.leader, l.mapRec, l.estimate = nil, nil, nil
-	l.machines = map[string]*wire.MachineRecord{}
+	l.machines = newIndex[*wire.MachineRecord]()
 	l.types = map[string]*wire.MachineType{}
 }
 
@@ -237,7 +237,7 @@
 	case strings.HasPrefix(key, keyMachine):
 		rec := &wire.MachineRecord{}
 		if err = wire.Decode(value, rec); err == nil {
-			l.machines[key[len(keyMachine):]] = rec
+			l.machines.set(key[len(keyMachine):], rec)
 			l.c.part.machineKnown(key[len(keyMachine):], rec)
 		}
 	case key == keyLeader:
@@ -293,6 +293,7 @@
 	}
 	j.doneN += set.Len() - j.done[block].Len()
 	j.done[block] = set
+	l.c.orch.progressed(id)
 	return nil
 }
 
@@ -312,7 +313,8 @@
 	case strings.HasPrefix(key, keyNode):
 		delete(l.nodes, key[len(keyNode):])
 	case strings.HasPrefix(key, keyMachine):
-		delete(l.machines, key[len(keyMachine):])
+		l.machines.delete(key[len(keyMachine):])
+		l.c.part.tendAt = 0
 	case strings.HasPrefix(key, keyProgress):
 		id, num, _ := strings.Cut(key[len(keyProgress):], "/")
 		if b, err := strconv.Atoi(num); err == nil && l.jobs[id] != nil {
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -1,8 +1,11 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
+	"iter"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -36,6 +39,7 @@
 	id       string
 	flights  map[int]*flight
 	finished map[int]bool // completed, not durable yet
+	low      int          // no task below it waits
 	limbo    bool         // from before this leader: its tasks may be on unseen machines
 	hold     map[int]time.Duration
 	fails    int
@@ -47,6 +51,8 @@
 	reason   string
 	said     wire.JobView
 	pred     float64
+	band     int          // its place in the order: first the band,
+	size     float64      // then the size
 	in       bool         // within its team's guarantee
 	stopped  map[int]bool // tasks that were stopped: what is left of them says nothing of their duration
 	stops    int
@@ -63,23 +69,27 @@
 }
 
 func (q *queued) waiting() int {
-	return q.j.rec.Spec.Tasks - q.j.doneN - q.undurable() - len(q.flights)
+	return q.j.rec.Spec.Tasks - q.j.doneN - len(q.finished) - len(q.flights)
 }
 
-func (q *queued) undurable() int {
-	n := 0
-	for i := range q.finished {
-		if !q.j.isDone(i) {
-			n++
-		}
+// complete reports whether every task has completed, durably or not.
+func (q *queued) complete() bool {
+	return q.j.rec.Spec.Kind != wire.KindService && q.j.doneN+len(q.finished) >= q.j.rec.Spec.Tasks
+}
+
+// next is the first task from i on that is neither over nor dispatched.
+func (q *queued) next(i int) int {
+	for i < q.j.rec.Spec.Tasks && (q.flights[i] != nil || q.over(i)) {
+		i++
 	}
-	return n
+	return i
 }
 
 func (q *queued) over(i int) bool { return q.finished[i] || q.j.isDone(i) }
 
 // rigView is the leader's picture of a machine.
 type rigView struct {
+	name    string
 	state   wire.MachineState
 	part    string
 	mt      *wire.MachineType
@@ -114,9 +124,12 @@
 	startRev     uint64        // jobs newer than this were never dispatched before us
 	parts        map[string]*partView
 	sessions     map[uint64]string // session -> label, "" before hello
-	rigs         map[string]*rigView
-	queue        map[string]*queued
+	rigs         *index[*rigView]
+	queue        *index[*queued]
 	tasks        map[string]*flight
+	used         map[string]*usage  // by team, what its tasks may be taking
+	unsaved      map[string]*queued // have completed tasks that are not durable
+	doubt        bool               // some job or task is in limbo
 	counter      uint64
 	lastRound    time.Duration
 	lastSort     time.Duration
@@ -128,11 +141,17 @@
 	waits        [4]*hdrhistogram.Histogram // ms from submission to running, by urgency
 }
 
+// usage is what tasks take.
+type usage struct{ cpus, gpus float64 }
+
+func (u *usage) add(s *wire.Job, n float64) { u.cpus += n * s.CPUs; u.gpus += n * s.GPUs }
+
 // maxWait is the longest wait told apart, in ms.
 const maxWait = 3_600_000
 
 func newOrchestrator(c *Core) *orchestrator {
 	o := &orchestrator{c: c, sessions: map[uint64]string{}, parts: map[string]*partView{}}
+	o.clear()
 	for i := range o.waits {
 		o.waits[i] = hdrhistogram.New(1, maxWait, 2)
 	}
@@ -144,9 +163,7 @@
 	o.epoch = 0
 	o.epochAtStart = o.c.members.epoch()
 	o.startRev = o.c.ledger.versions[keyLeader]
-	o.rigs = map[string]*rigView{}
-	o.queue = map[string]*queued{}
-	o.tasks = map[string]*flight{}
+	o.clear()
 	o.lastRound = 0
 	o.writesAt = o.c.now.Steady
 	o.writes = o.c.set.Site.State.WriteRPS / 4
@@ -159,27 +176,51 @@
 	}
 }
 
+func (o *orchestrator) clear() {
+	o.rigs, o.queue = newIndex[*rigView](), newIndex[*queued]()
+	o.tasks, o.used, o.unsaved = map[string]*flight{}, map[string]*usage{}, map[string]*queued{}
+	o.doubt = false
+}
+
 // jobChanged follows the mirror.
 func (o *orchestrator) jobChanged(j *job) {
 	if !o.on || j.version == 0 {
 		return
 	}
 	id := j.rec.Spec.ID
-	q := o.queue[id]
+	q := o.queue.get(id)
 	if j.final() {
+		delete(o.unsaved, id)
 		// Its flights stay until they are surely gone: they hold quota.
 		if q != nil && len(q.flights) == 0 {
-			delete(o.queue, id)
+			o.queue.delete(id)
 		}
 		return
 	}
 	if q == nil {
 		q = newQueued(j)
 		q.limbo = j.version <= o.startRev
-		o.queue[id] = q
+		o.doubt = o.doubt || q.limbo
+		o.queue.set(id, q)
 		if !q.limbo {
 			o.c.fleet.arrived(q)
 		}
+		if q.complete() {
+			o.unsaved[id] = q // its last leader did not get to say so
+		}
+	}
+}
+
+// progressed follows the mirror: what is durable is no longer ours to save.
+func (o *orchestrator) progressed(id string) {
+	q := o.queue.get(id)
+	if q == nil {
+		return
+	}
+	for i := range q.finished {
+		if q.j.isDone(i) {
+			delete(q.finished, i)
+		}
 	}
 }
 
@@ -215,7 +256,7 @@
 	}
 	p.boot, p.session, p.heard, p.synced, p.sent = h.Boot, session, o.c.now.Steady, 0, 0
 	p.outbox, p.dirty = wire.PeerMessage{}, false
-	for _, q := range o.queue {
+	for _, q := range o.queue.all() {
 		q.said = wire.JobView{} // a new listener knows nothing yet
 	}
 }
@@ -252,12 +293,18 @@
 	if m.Full {
 		o.whole(p, m)
 		p.synced = o.epoch
+		o.lastSort = 0 // its machines are waiting for work
 	} else if p.synced != o.epoch {
 		return // its whole picture is still to come
 	}
 	for i := range m.Machines {
 		o.machine(p, &m.Machines[i])
 	}
+	for _, name := range m.Dropped {
+		if v := o.rigs.get(name); v != nil && v.part == p.label {
+			v.listed = 0
+		}
+	}
 	for _, t := range m.Returned {
 		if f := o.tasks[t.Task]; f != nil && f.attempt == t.Attempt && f.open {
 			f.open = false
@@ -276,17 +323,17 @@
 	first := o.epoch == 0
 	o.epoch, o.epochAt = rec.Epoch, o.c.now.Steady
 	o.counter = 0
-	for _, v := range o.rigs {
+	for _, v := range o.rigs.all() {
 		v.state.Sure, v.state.Up = false, false
 	}
-	for name := range o.c.ledger.machines {
+	for name := range o.c.ledger.machines.all() {
 		o.view(name)
 	}
 	// What was dispatched but not yet seen on a machine may be on any machine
 	// of a part that is gone; it counts as running until all are seen.
 	for _, f := range o.tasks {
 		if f.open {
-			f.open, f.limbo = false, true
+			f.open, f.limbo, o.doubt = false, true, true
 		}
 	}
 	for _, p := range o.parts {
@@ -295,19 +342,19 @@
 		p.outbox, p.dirty = wire.PeerMessage{Resync: true}, true
 	}
 	if first {
-		o.c.debugf("taking over", "machines", len(o.rigs), "jobs", len(o.queue))
+		o.c.debugf("taking over", "machines", o.rigs.len(), "jobs", o.queue.len())
 	}
 }
 
 func (o *orchestrator) view(name string) *rigView {
-	v := o.rigs[name]
+	v := o.rigs.get(name)
 	if v == nil {
-		v = &rigView{tasks: map[string]*flight{}, errors: map[string]bool{}, emptyAt: o.c.now.Steady, upAt: -1}
-		if rec := o.c.ledger.machines[name]; rec != nil {
+		v = &rigView{name: name, tasks: map[string]*flight{}, errors: map[string]bool{}, emptyAt: o.c.now.Steady, upAt: -1}
+		if rec := o.c.ledger.machines.get(name); rec != nil {
 			v.state = wire.MachineState{Name: name, Addr: rec.Addr, Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}
 			v.mt = o.c.types()[rec.Type]
 		}
-		o.rigs[name] = v
+		o.rigs.set(name, v)
 	}
 	return v
 }
@@ -319,7 +366,7 @@
 // Guards against taking a dispatch for lost that is still on its way: a picture
 // made before the part had read it once had hundreds of tasks started twice.
 func (o *orchestrator) whole(p *partView, m *wire.PeerMessage) {
-	for _, v := range o.rigs {
+	for _, v := range o.rigs.all() {
 		if v.part == p.label {
 			v.listed = 0
 		}
@@ -396,18 +443,17 @@
 	}
 	listed[t.Task] = true
 	if f == nil {
-		q := o.queue[ref]
+		q := o.queue.get(ref)
 		if q == nil {
 			if j.final() {
 				q = newQueued(j)
-				o.queue[ref] = q
+				o.queue.set(ref, q)
 			} else {
 				return
 			}
 		}
 		f = &flight{job: q, index: index, attempt: t.Attempt, since: o.c.now.Steady, claims: map[string]bool{}}
-		o.tasks[t.Task] = f
-		q.flights[index] = f
+		o.debit(t.Task, f)
 	}
 	// Whatever lists a task holds it, even if another machine is thought to have
 	// it: an old list of a dead machine once hid the machine that really ran it,
@@ -415,7 +461,7 @@
 	f.claims[s.Name] = true
 	v.tasks[t.Task] = f
 	if f.attempt != t.Attempt {
-		if other := o.rigs[f.machine]; f.open || !s.Sure || other != nil && other.state.Sure && f.machine != s.Name {
+		if other := o.rigs.get(f.machine); f.open || !s.Sure || other != nil && other.state.Sure && f.machine != s.Name {
 			return
 		}
 	}
@@ -430,7 +476,7 @@
 
 // exited takes a task that has ended on its machine.
 func (o *orchestrator) exited(v *rigView, j *job, index int, t *wire.TaskState, f *flight) {
-	q := o.queue[j.rec.Spec.ID]
+	q := o.queue.get(j.rec.Spec.ID)
 	if q == nil || j.final() {
 		return
 	}
@@ -440,7 +486,8 @@
 			return
 		}
 		q.finished[index] = true
-		o.saveDue = true
+		o.unsaved[q.id] = q
+		o.saveDue = o.saveDue || q.complete()
 		if q.saveAt == 0 {
 			q.saveAt = o.c.now.Steady + o.c.times.lease/4
 		}
@@ -469,7 +516,7 @@
 	q.hold[index] = o.c.now.Steady + wait
 	jobs := 0
 	for id := range v.errors {
-		if o.queue[id] != nil && len(o.queue[id].failedOn) <= 2 {
+		if x := o.queue.get(id); x != nil && len(x.failedOn) <= 2 {
 			jobs++
 		}
 	}
@@ -492,46 +539,60 @@
 	o.land(name, f)
 }
 
+// debit counts a flight against its team's limit.
+func (o *orchestrator) debit(name string, f *flight) {
+	o.tasks[name] = f
+	f.job.flights[f.index] = f
+	s := &f.job.j.rec.Spec
+	u := o.used[s.Team]
+	if u == nil {
+		u = &usage{}
+		o.used[s.Team] = u
+	}
+	u.add(s, 1)
+}
+
 // land credits a flight if its task is surely on no machine and on its way to
 // none.
 func (o *orchestrator) land(name string, f *flight) {
 	if f.open || f.limbo || len(f.claims) > 0 {
 		return
 	}
-	delete(o.tasks, name)
 	q := f.job
+	if o.tasks[name] == f {
+		delete(o.tasks, name)
+		o.used[q.j.rec.Spec.Team].add(&q.j.rec.Spec, -1)
+	}
 	if q.flights[f.index] == f {
 		delete(q.flights, f.index)
+		q.low = min(q.low, f.index)
 	}
 	if q.j.final() && len(q.flights) == 0 {
-		delete(o.queue, q.id)
+		o.queue.delete(q.id)
 	}
 }
 
-// unseen lists the machines that may hold tasks this leader does not know.
-func (o *orchestrator) unseen() []string {
-	var out []string
-	for _, name := range sortedKeys(o.c.ledger.machines) {
-		if v := o.rigs[name]; (v == nil || !v.state.Sure) && !o.c.fleet.wasDeleted(name) {
-			out = append(out, name)
+// unseen walks over the machines that may hold tasks this leader does not know.
+func (o *orchestrator) unseen() iter.Seq2[string, *wire.MachineRecord] {
+	return func(yield func(string, *wire.MachineRecord) bool) {
+		for name, rec := range o.c.ledger.machines.all() {
+			if v := o.rigs.get(name); (v == nil || !v.state.Sure) && !o.c.fleet.wasDeleted(name) && !yield(name, rec) {
+				return
+			}
 		}
 	}
-	return out
 }
 
 // settle frees what was in doubt once every machine has been seen.
 func (o *orchestrator) settle() {
-	doubt := false
-	for _, q := range o.queue {
-		doubt = doubt || q.limbo
-	}
-	for _, f := range o.tasks {
-		doubt = doubt || f.limbo
+	if !o.doubt {
+		return
 	}
-	if !doubt || len(o.unseen()) > 0 {
+	for range o.unseen() {
 		return
 	}
-	for _, q := range o.queue {
+	o.doubt = false
+	for _, q := range o.queue.all() {
 		q.limbo = false
 	}
 	for _, name := range sortedKeys(o.tasks) {
@@ -540,6 +601,7 @@
 			o.land(name, f)
 		}
 	}
+	o.lastSort = 0
 	o.c.info("every machine has been seen")
 }
 
@@ -551,31 +613,19 @@
 	if o.epoch == 0 || o.epoch != o.c.members.epoch() {
 		return
 	}
-	for name, v := range o.rigs {
-		// A machine that no part lists and that is out of the register was
-		// deleted by an earlier leader; what it was thought to run once held two
-		// tasks back for ever. The wait lets the mirror catch up.
-		forgotten := v.listed != o.epoch && o.c.ledger.machines[name] == nil && o.c.now.Steady-o.epochAt > 2*o.c.times.fresh
-		if forgotten || o.c.fleet.wasDeleted(name) {
-			// Deleted by the cloud's word: it and its tasks are gone.
-			for _, t := range sortedKeys(v.tasks) {
-				o.release(t, v.tasks[t], v)
-			}
-			delete(o.rigs, name)
-		}
-	}
-	o.register()
 	if o.saveDue || o.c.now.Steady >= o.saveAt {
 		o.saveDue, o.saveAt = false, o.c.now.Steady+o.c.times.round/4
 		o.save()
 	}
-	if o.c.now.Steady-o.lastSort >= o.c.times.sort {
+	if o.lastSort == 0 || o.c.now.Steady-o.lastSort >= o.c.times.sort {
 		o.lastSort = o.c.now.Steady
+		o.forget()
+		o.register()
 		o.settle()
-		jobs := o.round()
+		ranked, waiting := o.round()
 		if o.c.now.Steady-o.lastRound >= o.c.times.round {
 			o.lastRound = o.c.now.Steady
-			o.c.fleet.want(jobs)
+			o.c.fleet.want(ranked, waiting)
 			o.c.est.save()
 			o.tell()
 		}
@@ -595,6 +645,23 @@
 	}
 }
 
+// forget drops the machines that are surely gone.
+func (o *orchestrator) forget() {
+	for name, v := range o.rigs.all() {
+		// A machine that no part lists and that is out of the register was
+		// deleted by an earlier leader; what it was thought to run once held two
+		// tasks back for ever. The wait lets the mirror catch up.
+		forgotten := v.listed != o.epoch && o.c.ledger.machines.get(name) == nil && o.c.now.Steady-o.epochAt > 2*o.c.times.fresh
+		if forgotten || o.c.fleet.wasDeleted(name) {
+			// Deleted by the cloud's word: it and its tasks are gone.
+			for _, t := range sortedKeys(v.tasks) {
+				o.release(t, v.tasks[t], v)
+			}
+			o.rigs.delete(name)
+		}
+	}
+}
+
 // register writes machines that have reported into the register: only those are
 // given work, so that a take-over knows which machines it must see.
 func (o *orchestrator) register() {
@@ -602,9 +669,8 @@
 		return
 	}
 	var ops []wire.Op
-	for _, name := range sortedKeys(o.rigs) {
-		v := o.rigs[name]
-		if !v.state.Up || o.c.ledger.machines[name] != nil || o.c.fleet.leaving(name) {
+	for name, v := range o.rigs.all() {
+		if !v.state.Up || o.c.ledger.machines.get(name) != nil || o.c.fleet.leaving(name) {
 			continue
 		}
 		s := v.state
@@ -633,19 +699,24 @@
 	rate := c.set.Site.State.WriteRPS * c.policy.ProgressShare
 	o.writes = min(o.writes+(c.now.Steady-o.writesAt).Seconds()*rate, rate)
 	o.writesAt = c.now.Steady
-	for _, id := range sortedKeys(o.queue) {
-		q := o.queue[id]
-		if q.ending || q.writing || q.j.final() || q.choosing || len(q.finished) == 0 && q.j.doneN < q.j.rec.Spec.Tasks {
-			continue
-		}
-		if q.j.rec.Spec.Kind != wire.KindService && q.j.doneN+q.undurable() >= q.j.rec.Spec.Tasks {
+	var partly []*queued
+	for _, id := range sortedKeys(o.unsaved) {
+		q := o.unsaved[id]
+		switch {
+		case q.j.final() || o.queue.get(id) != q || len(q.finished) == 0 && !q.complete():
+			delete(o.unsaved, id)
+		case q.ending || q.writing || q.choosing:
+		case q.complete():
 			o.end(q)
+		case q.saveAt > 0 && c.now.Steady >= q.saveAt:
+			partly = append(partly, q)
 		}
 	}
-	for _, id := range sortedKeys(o.queue) {
-		q := o.queue[id]
-		if q.ending || q.writing || q.choosing || q.j.final() || q.saveAt == 0 || c.now.Steady < q.saveAt || o.writes < 1 {
-			continue
+	// Those that have waited longest first, or the first names would take all.
+	sort.SliceStable(partly, func(a, b int) bool { return partly[a].saveAt < partly[b].saveAt })
+	for _, q := range partly {
+		if o.writes < 1 {
+			break
 		}
 		o.progress(q)
 	}
@@ -710,51 +781,61 @@
 
 // use is what each team's tasks may be taking. Every machine that has not been
 // seen counts as full of the team's tasks.
-func (o *orchestrator) use() (cpus, gpus map[string]float64) {
-	cpus, gpus = map[string]float64{}, map[string]float64{}
-	for _, f := range o.tasks {
-		s := &f.job.j.rec.Spec
-		cpus[s.Team] += s.CPUs
-		gpus[s.Team] += s.GPUs
-	}
-	var uc, ug float64
-	for _, name := range o.unseen() {
-		mt := o.c.types()[o.c.ledger.machines[name].Type]
+func (o *orchestrator) use() map[string]*usage {
+	var u usage
+	for name, rec := range o.unseen() {
+		mt := o.c.types()[rec.Type]
 		if mt == nil {
-			uc, ug = math.Inf(1), math.Inf(1)
+			u = usage{math.Inf(1), math.Inf(1)}
 			break
 		}
-		uc += mt.CPUs
-		ug += mt.GPUs
-		if v := o.rigs[name]; v != nil {
+		u.cpus += mt.CPUs
+		u.gpus += mt.GPUs
+		if v := o.rigs.get(name); v != nil {
 			for _, f := range v.tasks { // these are counted already
-				uc -= f.job.j.rec.Spec.CPUs
-				ug -= f.job.j.rec.Spec.GPUs
+				u.add(&f.job.j.rec.Spec, -1)
 			}
 		}
 	}
+	use := map[string]*usage{}
 	for i := range o.c.set.Site.Teams {
 		t := o.c.set.Site.Teams[i].Name
-		cpus[t] += max(uc, 0)
-		gpus[t] += max(ug, 0)
+		x := usage{max(u.cpus, 0), max(u.gpus, 0)}
+		if own := o.used[t]; own != nil {
+			x.cpus += own.cpus
+			x.gpus += own.gpus
+		}
+		use[t] = &x
 	}
-	return cpus, gpus
+	return use
 }
 
 // round ranks what waits and dispatches what fits.
-func (o *orchestrator) round() []*queued {
-	jobs := o.rank()
-	rooms := o.rooms()
-	cpus, gpus := o.use()
-	for _, q := range jobs {
+func (o *orchestrator) round() (ranked, waiting []*queued) {
+	ranked = o.rank()
+	p := o.plan()
+	for _, q := range ranked {
+		if q.waiting() <= 0 {
+			continue
+		}
+		waiting = append(waiting, q)
 		if q.j.rec.Spec.Kind == wire.KindGang {
-			o.holdGang(q, rooms, cpus, gpus)
+			o.holdGang(q, p)
 		} else {
-			o.dispatch(q, rooms, cpus, gpus)
+			o.dispatch(q, p)
 		}
 	}
 	o.releaseGangs()
-	return jobs
+	return ranked, waiting
+}
+
+// plan is what one round works with: the room on every machine that can be given
+// work, and what each team uses. The round fills both up as it goes.
+type plan struct {
+	rooms   []*planned
+	free    []*planned // those with any room left
+	use     map[string]*usage
+	victims map[int][]victim // by urgency, what may be stopped, cheapest first; nil: not looked for yet
 }
 
 // planned is a machine in the leader's plan of one round.
@@ -763,22 +844,21 @@
 	name string
 	part *partView
 	view *rigView
+	warm bool // holds the image of the job that is looked at
 }
 
-// rooms is the room on every machine that can be given work.
-func (o *orchestrator) rooms() []*planned {
+func (o *orchestrator) plan() *plan {
 	guessed := map[string][]*flight{}
 	for _, f := range o.tasks {
 		if f.open {
 			guessed[f.guess] = append(guessed[f.guess], f)
 		}
 	}
-	var out []*planned
-	for _, name := range sortedKeys(o.rigs) {
-		v := o.rigs[name]
+	out := &plan{use: o.use()}
+	for name, v := range o.rigs.all() {
 		p := o.parts[v.part]
 		s := &v.state
-		if !s.Up || !s.Sure || s.Notice || s.Draining || v.sick || v.mt == nil || o.c.ledger.machines[name] == nil ||
+		if !s.Up || !s.Sure || s.Notice || s.Draining || v.sick || v.mt == nil || o.c.ledger.machines.get(name) == nil ||
 			p == nil || p.session == 0 || p.synced != o.epoch || o.c.fleet.leaving(name) || o.c.fleet.parked[name] {
 			continue
 		}
@@ -791,67 +871,58 @@
 		for _, f := range guessed[name] {
 			m.take(&f.job.j.rec.Spec)
 		}
-		out = append(out, m)
+		out.rooms = append(out.rooms, m)
+		if m.cpus > slack {
+			out.free = append(out.free, m)
+		}
 	}
 	return out
 }
 
-// rank sorts the jobs that have waiting tasks: services, then what is urgent,
-// then what its team's guarantee covers, then by urgency, and on the ordinary
-// path by CPUs (GPUs) times predicted duration, which waiting shrinks.
+// rank sorts the unfinished jobs: services, then what is urgent, then what its
+// team's guarantee covers, then by urgency, and on the ordinary path by CPUs
+// (GPUs) times predicted duration, which waiting shrinks.
 func (o *orchestrator) rank() []*queued {
 	o.guarantees()
 	var jobs []*queued
-	for _, q := range o.ranked() {
+	for _, q := range o.queue.all() {
+		if q.j.final() || q.ending {
+			continue
+		}
 		q.reason = ""
 		if q.fails > 0 && q.j.doneN+len(q.finished) == 0 {
 			q.reason = q.failedWhere()
 		}
-		if q.waiting() > 0 {
-			jobs = append(jobs, q)
-		}
+		q.pred = o.c.est.predict(&q.j.rec.Spec)
+		q.band, q.size = o.order(q)
+		jobs = append(jobs, q)
 	}
+	slices.SortStableFunc(jobs, func(a, b *queued) int {
+		return cmp.Or(cmp.Compare(a.band, b.band), cmp.Compare(a.size, b.size))
+	})
 	return jobs
 }
 
-// ranked is every unfinished job, in rank order.
-func (o *orchestrator) ranked() []*queued {
-	var jobs []*queued
-	for _, id := range sortedKeys(o.queue) {
-		q := o.queue[id]
-		if !q.j.final() && !q.ending {
-			q.pred = o.c.est.predict(&q.j.rec.Spec)
-			jobs = append(jobs, q)
-		}
-	}
-	key := func(q *queued) (int, float64) {
-		s := &q.j.rec.Spec
-		u := urgency(s.Urgency)
-		band := 10 + u
-		switch {
-		case s.Kind == wire.KindService:
-			band = u - 10
-		case u <= 1:
-			band = u
-		case q.in:
-			band = 2
-		}
-		size := s.CPUs
-		if s.GPUs > 0 {
-			size = s.GPUs
-		}
-		aged := 1 + max(o.c.now.Wall-q.j.rec.At, 0)/(o.c.policy.AgingLeases*o.c.times.lease.Seconds())
-		return band, size * q.pred / aged
-	}
-	sort.SliceStable(jobs, func(a, b int) bool {
-		ba, pa := key(jobs[a])
-		bb, pb := key(jobs[b])
-		if ba != bb {
-			return ba < bb
-		}
-		return pa < pb
-	})
-	return jobs
+// order is a job's band, and its size within that.
+func (o *orchestrator) order(q *queued) (band int, size float64) {
+	s := &q.j.rec.Spec
+	u := urgency(s.Urgency)
+	switch {
+	case s.Kind == wire.KindService:
+		band = u - 10
+	case u <= 1:
+		band = u
+	case q.in:
+		band = 2
+	default:
+		band = 10 + u
+	}
+	size = s.CPUs
+	if s.GPUs > 0 {
+		size = s.GPUs
+	}
+	aged := 1 + max(o.c.now.Wall-q.j.rec.At, 0)/(o.c.policy.AgingLeases*o.c.times.lease.Seconds())
+	return band, size * q.pred / aged
 }
 
 func urgency(u string) int {
@@ -870,8 +941,7 @@
 // fit into the team's guarantee.
 func (o *orchestrator) guarantees() {
 	byTeam := map[string][]*queued{}
-	for _, id := range sortedKeys(o.queue) {
-		q := o.queue[id]
+	for _, q := range o.queue.all() {
 		q.in = false
 		if !q.j.final() {
 			byTeam[q.j.rec.Spec.Team] = append(byTeam[q.j.rec.Spec.Team], q)
@@ -896,33 +966,13 @@
 }
 
 // dispatch sends the waiting tasks of a job to parts with room, roomiest first.
-func (o *orchestrator) dispatch(q *queued, rooms []*planned, cpus, gpus map[string]float64) {
+func (o *orchestrator) dispatch(q *queued, p *plan) {
 	c := o.c
 	s := &q.j.rec.Spec
-	if !o.startable(q, rooms) {
+	if !o.startable(q, p) {
 		return
 	}
-	var fitting []*planned
-	free := map[*partView]float64{}
-	for _, m := range rooms {
-		if m.fits(s) && allows(s, m.typ) && (s.Zone == "" || s.Zone == m.zone) && (!m.spot || s.Spot) {
-			fitting = append(fitting, m)
-			free[m.part] += m.cpus
-		}
-	}
-	sort.SliceStable(fitting, func(a, b int) bool {
-		x, y := fitting[a], fitting[b]
-		if hx, hy := x.has(s.Image), y.has(s.Image); hx != hy {
-			return hx
-		}
-		if x.spot != y.spot {
-			return x.spot
-		}
-		if x.part != y.part && free[x.part] != free[y.part] {
-			return free[x.part] > free[y.part]
-		}
-		return better(&x.room, &y.room, s.Image)
-	})
+	fitting := o.fitting(s, p)
 	at, held, sent := 0, 0, 0
 	if c.debug {
 		defer func() {
@@ -934,15 +984,13 @@
 	// Counted once: counting anew for each task of a huge job took the round's
 	// whole share of the processor.
 	left := q.waiting()
-	for i := 0; i < s.Tasks && sent < left; i++ {
-		if q.flights[i] != nil || q.over(i) {
-			continue
-		}
+	q.low = q.next(q.low)
+	for i := q.low; i < s.Tasks && sent < left; i = q.next(i + 1) {
 		if q.hold[i] > c.now.Steady {
 			held++
 			continue
 		}
-		if o.overLimit(s, 1, cpus, gpus) {
+		if o.overLimit(s, 1, p) {
 			q.reason = fmt.Sprintf("team %s is at its limit", s.Team)
 			return
 		}
@@ -969,11 +1017,11 @@
 			if q.stops > 0 {
 				q.reason = q.stopWhy + "; " + q.reason
 			}
-			o.makeRoom(q, rooms)
+			o.makeRoom(q, p)
 			return
 		}
 		m.take(s)
-		o.send(q, i, m, o.newAttempt(), false, cpus, gpus)
+		o.send(q, i, m, o.newAttempt(), false, p)
 		sent++
 	}
 	if held > 0 {
@@ -981,15 +1029,52 @@
 	}
 }
 
+// fitting lists the machines with room for a task, in the order in which they
+// are filled. What is full by now leaves the plan's free machines.
+func (o *orchestrator) fitting(s *wire.Job, p *plan) []*planned {
+	var out []*planned
+	room := map[*partView]float64{}
+	free := p.free[:0]
+	for _, m := range p.free {
+		if m.cpus <= slack {
+			continue
+		}
+		free = append(free, m)
+		if m.fits(s) && allows(s, m.typ) && (s.Zone == "" || s.Zone == m.zone) && (!m.spot || s.Spot) {
+			m.warm = m.has(s.Image)
+			out = append(out, m)
+			room[m.part] += m.cpus
+		}
+	}
+	p.free = free
+	sort.SliceStable(out, func(a, b int) bool {
+		x, y := out[a], out[b]
+		if x.warm != y.warm {
+			return x.warm
+		}
+		if x.spot != y.spot {
+			return x.spot
+		}
+		if x.part != y.part && room[x.part] != room[y.part] {
+			return room[x.part] > room[y.part]
+		}
+		if x.cpus != y.cpus {
+			return x.cpus < y.cpus
+		}
+		return x.mem < y.mem
+	})
+	return out
+}
+
 // startable says why a job can't be dispatched yet, whatever the room.
-func (o *orchestrator) startable(q *queued, rooms []*planned) bool {
+func (o *orchestrator) startable(q *queued, p *plan) bool {
 	s := &q.j.rec.Spec
 	if q.limbo {
 		q.reason = "waits until every machine has been seen after a change of leader"
 		return false
 	}
 	if (s.OneZone || s.Spread) && len(q.j.rec.Zones) == 0 {
-		o.chooseZones(q, rooms)
+		o.chooseZones(q, p.rooms)
 		q.reason = "waits for its zone to be chosen"
 		return false
 	}
@@ -997,10 +1082,10 @@
 }
 
 // overLimit reports whether n more tasks would take a team past its limit.
-func (o *orchestrator) overLimit(s *wire.Job, n float64, cpus, gpus map[string]float64) bool {
-	t := o.c.team(s.Team)
-	return t != nil && (t.CPUsMax > 0 && cpus[s.Team]+n*s.CPUs > t.CPUsMax+slack ||
-		t.GPUsMax > 0 && gpus[s.Team]+n*s.GPUs > t.GPUsMax+slack)
+func (o *orchestrator) overLimit(s *wire.Job, n float64, p *plan) bool {
+	t, u := o.c.team(s.Team), p.use[s.Team]
+	return t != nil && (t.CPUsMax > 0 && u.cpus+n*s.CPUs > t.CPUsMax+slack ||
+		t.GPUsMax > 0 && u.gpus+n*s.GPUs > t.GPUsMax+slack)
 }
 
 // newAttempt gives a number that no start has had, without a write: the epoch and
@@ -1012,15 +1097,15 @@
 
 // send dispatches a task to the part that owns m; hold asks for that very
 // machine to keep room. The team's quota is debited here.
-func (o *orchestrator) send(q *queued, i int, m *planned, attempt uint64, hold bool, cpus, gpus map[string]float64) {
+func (o *orchestrator) send(q *queued, i int, m *planned, attempt uint64, hold bool, p *plan) {
 	s := &q.j.rec.Spec
-	cpus[s.Team] += s.CPUs
-	gpus[s.Team] += s.GPUs
+	if u := p.use[s.Team]; u != nil {
+		u.add(s, 1)
+	}
 	f := &flight{job: q, index: i, attempt: attempt, guess: m.name, part: m.part.label, since: o.c.now.Steady,
 		session: m.part.session, seq: m.part.sent + 1, open: true, claims: map[string]bool{}}
 	name := wire.TaskName(q.id, i)
-	o.tasks[name] = f
-	q.flights[i] = f
+	o.debit(name, f)
 	delete(q.hold, i)
 	try := wire.TaskTry{Task: name, Attempt: f.attempt}
 	if hold {
@@ -1084,8 +1169,7 @@
 // tell lets every node know what to say about the jobs.
 func (o *orchestrator) tell() {
 	var views []wire.JobView
-	for _, id := range sortedKeys(o.queue) {
-		q := o.queue[id]
+	for id, q := range o.queue.all() {
 		v := wire.JobView{Job: id, Reason: q.reason}
 		for _, f := range q.flights {
 			if f.state == wire.TaskRunning || f.state == wire.TaskSaving {
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/chalkhub/chalkhub/internal/wire"
@@ -67,8 +69,11 @@
 	tasks        []*placed
 	images       []string
 	avoid        map[string]time.Duration // jobs whose tasks failed here
-	dirty        bool
 	stamp        uint64
+
+	dirty   bool // its picture has changed since it was last told
+	free    room // what roomOf found, while counted is set
+	counted bool
 }
 
 // part owns the machines that the map gives this member.
@@ -76,7 +81,13 @@
 	c         *Core
 	epoch     uint64
 	mine      bool // a member in this epoch
-	rigs      map[string]*rig
+	rigs      *index[*rig]
+	changed   []*rig        // their pictures are due to the leader
+	hurried   []*rig        // have commands that should not wait for a report
+	dropped   []string      // no longer looked after, to be told
+	tendAt    time.Duration // when every machine's clock is looked at again
+	placeDue  bool          // there may be room that assigned tasks have not been held against
+	placeAt   time.Duration
 	assigned  []*placed // dispatched, no room found yet
 	returned  []wire.TaskTry
 	link      uint64 // to the leader, 0: none
@@ -94,7 +105,7 @@
 
 const selfLink = ^uint64(0)
 
-func newPart(c *Core) *part { return &part{c: c, rigs: map[string]*rig{}} }
+func newPart(c *Core) *part { return &part{c: c, rigs: newIndex[*rig]()} }
 
 // react follows the map, drops what can't be there any more, places and sends.
 func (p *part) react() {
@@ -117,20 +128,60 @@
 		return
 	}
 	if p.c.members.entitled() {
-		for _, name := range sortedKeys(p.rigs) {
-			p.tend(p.rigs[name])
+		// Clocks run on between reports too, but not so fast that every batch
+		// of commands should walk over every machine.
+		if c.now.Steady >= p.tendAt {
+			p.tendAt = c.now.Steady + min(c.times.round/4, c.times.sort)
+			for _, r := range p.rigs.all() {
+				p.tend(r)
+			}
 		}
 		p.fitness()
 		p.place()
-		for _, name := range sortedKeys(p.rigs) {
-			if r := p.rigs[name]; r.urgent && r.asking == 0 && r.trusted {
-				p.command(r)
-			}
-		}
+		p.sendHurried()
 	}
 	p.flush()
 }
 
+// mark notes that a machine's picture has changed, and with it its room.
+func (p *part) mark(r *rig) {
+	r.counted = false
+	p.placeDue = true
+	if !r.dirty {
+		r.dirty = true
+		p.changed = append(p.changed, r)
+	}
+}
+
+// hurry has a machine's commands sent without waiting for its next report.
+func (p *part) hurry(r *rig) {
+	if !r.urgent {
+		r.urgent = true
+		p.hurried = append(p.hurried, r)
+	}
+}
+
+// sendHurried sends what is urgent to the machines that can take it now.
+func (p *part) sendHurried() {
+	var later []*rig
+	for _, r := range p.hurried {
+		switch {
+		case !r.urgent || p.rigs.get(r.name) != r:
+		case r.asking == 0 && r.trusted:
+			p.command(r)
+		default:
+			later = append(later, r)
+		}
+	}
+	p.hurried = later
+}
+
+// forget drops a machine.
+func (p *part) forget(r *rig) {
+	p.rigs.delete(r.name)
+	p.dropped = append(p.dropped, r.name)
+}
+
 // newEpoch drops everything that was dispatched but not sent, and fences every
 // machine that is ours now: until it answers with the new token, what it lists
 // is only a hint.
@@ -141,14 +192,13 @@
 	stayed := p.mine && e == p.epoch+1
 	p.epoch, p.mine = e, c.members.member()
 	p.assigned, p.returned, p.full = nil, nil, true
-	p.since = c.now.Steady
-	for name, rec := range c.ledger.machines {
+	p.since, p.tendAt = c.now.Steady, 0
+	for name, rec := range c.ledger.machines.all() {
 		p.machineKnown(name, rec)
 	}
-	for _, name := range sortedKeys(p.rigs) {
-		r := p.rigs[name]
+	for name, r := range p.rigs.all() {
 		if !p.mine || c.members.owner(name) != c.set.Label {
-			delete(p.rigs, name)
+			p.forget(r)
 			continue
 		}
 		r.token = e << tokenBits
@@ -168,17 +218,17 @@
 			r.answered = max(r.answered, c.now.Steady+c.times.fresh)
 			r.lapsed = false
 		}
-		r.dirty = true
+		p.mark(r)
 	}
 	if c.ledger.mapRec != nil {
-		c.info("new map", "epoch", e, "leader", c.ledger.mapRec.Leader, "members", sortedKeys(c.ledger.mapRec.Members), "machines", len(p.rigs))
+		c.info("new map", "epoch", e, "leader", c.ledger.mapRec.Leader, "members", sortedKeys(c.ledger.mapRec.Members), "machines", p.rigs.len())
 	}
 }
 
 // machineKnown takes a machine of the register.
 func (p *part) machineKnown(name string, rec *wire.MachineRecord) {
-	if r := p.rigs[name]; r != nil {
-		r.registered = true
+	if r := p.rigs.get(name); r != nil {
+		r.registered, p.placeDue = true, true
 		return
 	}
 	if !p.mine || p.c.members.owner(name) != p.c.set.Label {
@@ -193,27 +243,28 @@
 func (p *part) newRig(name string) *rig {
 	r := &rig{
 		name: name, token: p.epoch << tokenBits, answered: p.c.now.Steady, heard: p.c.now.Steady,
-		avoid: map[string]time.Duration{}, dirty: true,
+		avoid: map[string]time.Duration{},
 	}
-	p.rigs[name] = r
+	p.rigs.set(name, r)
+	p.mark(r)
 	return r
 }
 
 // tend looks after a machine's clock: fencing, silence, machines that are gone.
 func (p *part) tend(r *rig) {
 	c := p.c
-	if r.registered && c.ledger.machines[r.name] == nil {
-		delete(p.rigs, r.name) // deleted: it and its tasks are gone
-		p.full = true
+	if r.registered && c.ledger.machines.get(r.name) == nil {
+		p.forget(r) // deleted: it and its tasks are gone
 		return
 	}
 	if !r.registered && c.now.Steady-r.heard > 4*c.times.gone {
-		delete(p.rigs, r.name)
-		p.full = true
+		p.forget(r)
 		return
 	}
 	if r.mt == nil {
-		r.mt = c.types()[r.typ]
+		if r.mt = c.types()[r.typ]; r.mt != nil {
+			p.mark(r)
+		}
 	}
 	if !r.lapsed && c.now.Steady-r.answered > c.times.gone {
 		// Nobody entitled has answered this worker for longer than its lease,
@@ -224,10 +275,11 @@
 			c.info("machine is silent, its tasks are lost", "machine", r.name, "tasks", len(r.tasks))
 		}
 		r.tasks = nil
-		r.dirty = true
+		p.mark(r)
 	}
 	if silent := c.now.Steady-r.heard > c.times.lease/2; silent != r.silent {
-		r.silent, r.dirty = silent, true
+		r.silent = silent
+		p.mark(r)
 	}
 	if r.trusted && r.asking == 0 && c.now.Steady-r.heard > 2*c.times.report && c.now.Steady >= r.askAgain {
 		p.do(r, nil) // it may only have trouble reaching us
@@ -246,12 +298,13 @@
 }
 
 func (p *part) didDo(d *DoDone) {
-	r := p.rigs[d.Machine]
+	r := p.rigs.get(d.Machine)
 	if r == nil || r.asking != d.ID {
 		return
 	}
 	c := p.c
 	r.asking = 0
+	defer p.tend(r)
 	switch d.Status {
 	case 200:
 		r.heard = c.now.Steady
@@ -285,7 +338,7 @@
 func (p *part) raise(r *rig) {
 	r.token++
 	r.trusted = false
-	r.dirty = true
+	p.mark(r)
 }
 
 // dropDirect forgets starts that a refused /do carried.
@@ -299,7 +352,7 @@
 		kept = append(kept, t)
 	}
 	if len(kept) != len(r.tasks) {
-		r.dirty = true
+		p.mark(r)
 	}
 	r.tasks = kept
 }
@@ -320,12 +373,12 @@
 		c.emit(Reply{ID: id, Status: 421, Body: wire.Redirect{ReportTo: owner}})
 		return
 	}
-	r := p.rigs[rep.Machine]
+	r := p.rigs.get(rep.Machine)
 	if r == nil {
 		r = p.newRig(rep.Machine)
 		r.addr, r.typ, r.zone, r.spot = rep.Addr, rep.Type, rep.Zone, rep.Spot
 		r.mt = c.types()[r.typ]
-		r.registered = c.ledger.machines[r.name] != nil
+		r.registered = c.ledger.machines.get(r.name) != nil
 	}
 	if rep.Token > r.token {
 		// Somebody has a newer map than we do.
@@ -334,6 +387,10 @@
 	}
 	newest := rep.Newer(r.session, r.seq)
 	r.heard, r.answered = c.now.Steady, max(r.answered, c.now.Steady)
+	if r.silent {
+		r.silent = false
+		p.mark(r)
+	}
 	if newest {
 		p.read(r, rep, 0, true)
 	}
@@ -363,11 +420,12 @@
 			}
 		}
 		r.tasks = kept
-		r.dirty = true
+		p.mark(r)
 	}
 	r.session, r.seq = rep.Session, rep.Seq
 	if n := rep.NoticeS != nil; n != r.notice {
-		r.notice, r.dirty = n, true
+		r.notice = n
+		p.mark(r)
 		if n {
 			c.info("machine will be taken back", "machine", r.name, "seconds", *rep.NoticeS)
 		}
@@ -375,15 +433,16 @@
 	was := r.trusted
 	r.trusted = rep.Token == r.token
 	if r.trusted != was {
-		r.dirty = true
+		p.mark(r)
 	}
 	if !r.trusted {
 		return
 	}
 	r.lapsed = false
 	r.stamp++
+	at := 0
 	for i := range rep.Tasks {
-		p.seen(r, &rep.Tasks[i])
+		at = p.seen(r, &rep.Tasks[i], at)
 	}
 	kept := r.tasks[:0]
 	for _, t := range r.tasks {
@@ -402,18 +461,21 @@
 		if keep {
 			kept = append(kept, t)
 		} else {
-			r.dirty = true
+			p.mark(r)
 		}
 	}
 	r.tasks = kept
 }
 
-// seen takes one line of a trusted list.
-func (p *part) seen(r *rig, tr *wire.TaskReport) {
+// seen takes one line of a trusted list. The search begins at a place, and the
+// place after the one found is returned: lists keep their order, so that a
+// machine of many tasks is not searched from the start for each.
+func (p *part) seen(r *rig, tr *wire.TaskReport, at int) int {
 	var t *placed
-	for _, x := range r.tasks {
-		if x.task == tr.Task && x.attempt == tr.Attempt {
-			t = x
+	for n := range r.tasks {
+		i := (at + n) % len(r.tasks)
+		if x := r.tasks[i]; x.attempt == tr.Attempt && x.task == tr.Task {
+			t, at = x, i+1
 			break
 		}
 	}
@@ -421,25 +483,25 @@
 		ref, index, err := wire.ParseTask(tr.Task)
 		if err != nil {
 			p.c.emit(Log{Level: LevelError, Text: "worker lists a task with a strange name", Args: []any{"machine", r.name, "task", tr.Task}})
-			return
+			return at
 		}
 		t = &placed{task: tr.Task, ref: ref, index: index, attempt: tr.Attempt}
 		if j := p.c.ledger.accepted(ref); j != nil {
 			t.spec = &j.rec.Spec
 		}
 		r.tasks = append(r.tasks, t)
-		r.dirty = true
+		p.mark(r)
 	}
 	t.phase, t.stamp = phaseListed, r.stamp
 	if t.state == tr.State && t.why == tr.Why {
-		return
+		return at
 	}
-	r.dirty = true
+	p.mark(r)
 	p.c.debugf("task", "task", t.task, "machine", r.name, "state", tr.State, "why", tr.Why)
 	if tr.State == wire.TaskRunning && t.since == 0 {
 		t.since = p.c.now.Steady
 		if t.spec != nil {
-			r.gotImage(t.spec.Image)
+			p.gotImage(r, t.spec.Image)
 		}
 	}
 	if tr.State == wire.TaskExited && t.state != wire.TaskExited {
@@ -453,9 +515,10 @@
 		}
 	}
 	t.state, t.why = tr.State, tr.Why
+	return at
 }
 
-func (r *rig) gotImage(image string) {
+func (p *part) gotImage(r *rig, image string) {
 	for i, x := range r.images {
 		if x == image {
 			copy(r.images[i:], r.images[i+1:])
@@ -467,7 +530,7 @@
 	if len(r.images) > 8 {
 		r.images = r.images[1:]
 	}
-	r.dirty = true
+	p.mark(r)
 }
 
 // commands lists what the machine must do now: kills first, then clears, then
@@ -523,17 +586,17 @@
 // jobOver sees to it that the tasks of a job that has ended are stopped.
 func (p *part) jobOver(j *job) {
 	ref := j.rec.Spec.ID
-	for _, r := range p.rigs {
+	for _, r := range p.rigs.all() {
 		kept := r.tasks[:0]
 		for _, t := range r.tasks {
 			if t.ref == ref {
 				if t.phase <= phaseQueued {
 					p.returned = append(p.returned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
-					r.dirty = true
+					p.mark(r)
 					continue
 				}
 				if t.live() {
-					r.urgent = true
+					p.hurry(r)
 				}
 			}
 			kept = append(kept, t)
@@ -551,15 +614,20 @@
 	p.assigned = kept
 }
 
-// room is what is free on a machine, starts under way counted.
-func (r *rig) room() room {
+// room is what is free on a machine, starts under way counted. It is counted
+// anew only once something has changed.
+func (r *rig) room() *room {
+	if r.counted {
+		return &r.free
+	}
 	m := room{cpus: r.mt.CPUs, gpus: r.mt.GPUs, mem: r.mt.MemoryGB, typ: r.typ, zone: r.zone, spot: r.spot, images: r.images}
 	for _, t := range r.tasks {
 		if t.live() && t.spec != nil {
 			m.take(t.spec)
 		}
 	}
-	return m
+	r.free, r.counted = m, true
+	return &r.free
 }
 
 func (r *rig) open() bool {
@@ -569,18 +637,18 @@
 // place finds room for what the leader has dispatched. A start goes out in the
 // response to the machine's next report, or by /do if that is far.
 func (p *part) place() {
-	if len(p.assigned) == 0 {
+	c := p.c
+	if len(p.assigned) == 0 || !p.placeDue && c.now.Steady < p.placeAt {
 		return
 	}
-	c := p.c
+	p.placeDue, p.placeAt = false, c.now.Steady+c.times.sort
 	var open []*rig
-	var rooms []room
-	for _, name := range sortedKeys(p.rigs) {
-		if r := p.rigs[name]; r.open() {
+	for _, r := range p.rigs.all() {
+		if r.open() && r.room().cpus > slack {
 			open = append(open, r)
-			rooms = append(rooms, r.room())
 		}
 	}
+	full := map[string]bool{} // jobs that found no room: their other tasks won't either
 	waiting := p.assigned[:0]
 	for _, t := range p.assigned {
 		j := c.ledger.accepted(t.ref)
@@ -588,16 +656,18 @@
 			p.returned = append(p.returned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
 			continue
 		}
-		best := -1
-		for i, r := range open {
-			if !rooms[i].fits(t.spec) || !mayRun(&j.rec, t.index, r.typ, r.zone, r.spot) || r.avoid[t.ref] > c.now.Steady {
-				continue
-			}
-			if best < 0 || better(&rooms[i], &rooms[best], t.spec.Image) {
-				best = i
+		var best *rig
+		if !full[t.ref] {
+			for _, r := range open {
+				m := r.room()
+				if m.fits(t.spec) && mayRun(&j.rec, t.index, r.typ, r.zone, r.spot) && r.avoid[t.ref] <= c.now.Steady &&
+					(best == nil || better(m, best.room(), t.spec.Image)) {
+					best = r
+				}
 			}
 		}
-		if best < 0 {
+		if best == nil {
+			full[t.ref] = !t.spec.Spread
 			// Unplaced for one round: back to the shared queue.
 			if c.now.Steady-t.since >= c.times.round {
 				p.returned = append(p.returned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
@@ -606,42 +676,40 @@
 			waiting = append(waiting, t)
 			continue
 		}
-		r := open[best]
-		rooms[best].take(t.spec)
-		if !rooms[best].has(t.spec.Image) {
-			r.gotImage(t.spec.Image)
-			rooms[best].images = r.images
+		if !best.room().has(t.spec.Image) {
+			p.gotImage(best, t.spec.Image)
 		}
 		t.phase, t.since = phaseQueued, 0
-		c.debugf("placed", "task", t.task, "machine", r.name)
-		r.tasks = append(r.tasks, t)
-		r.dirty = true
-		if r.heard+c.times.report-c.now.Steady > c.times.report/6 {
-			r.urgent = true
+		c.debugf("placed", "task", t.task, "machine", best.name)
+		best.tasks = append(best.tasks, t)
+		p.mark(best)
+		if best.heard+c.times.report-c.now.Steady > c.times.report/6 {
+			p.hurry(best)
 		}
 	}
 	p.assigned = waiting
+	p.placeDue = false // what was marked here only lost room
 }
 
 // holdRoom keeps room on a machine for a task of a gang.
 func (p *part) holdRoom(machine string, t *placed, rec *wire.JobRecord) bool {
-	r := p.rigs[machine]
+	r := p.rigs.get(machine)
 	if r == nil || !r.open() || !mayRun(rec, t.index, r.typ, r.zone, r.spot) {
 		return false
 	}
-	if free := r.room(); !free.fits(t.spec) {
+	if !r.room().fits(t.spec) {
 		return false
 	}
 	t.phase, t.state = phaseHeld, wire.StateHeld
 	r.tasks = append(r.tasks, t)
-	r.dirty = true
+	p.mark(r)
 	return true
 }
 
 // settleHeld lets f decide which of the held tasks stay.
 func (p *part) settleHeld(list []wire.TaskTry, f func(*rig, *placed) bool) {
 	for _, x := range list {
-		r := p.rigs[x.Machine]
+		r := p.rigs.get(x.Machine)
 		if r == nil {
 			continue
 		}
@@ -652,7 +720,7 @@
 			}
 		}
 		r.tasks = kept
-		r.dirty = true
+		p.mark(r)
 	}
 }
 
@@ -667,10 +735,10 @@
 		}
 		return
 	}
-	if !p.mine || len(p.rigs) < 2 || c.now.Steady-p.since < c.times.lease/3 {
+	if !p.mine || p.rigs.len() < 2 || c.now.Steady-p.since < c.times.lease/3 {
 		return
 	}
-	for _, r := range p.rigs {
+	for _, r := range p.rigs.all() {
 		if c.now.Steady-r.heard < c.times.lease/3 {
 			if r.trusted {
 				p.unfits = 0
@@ -683,7 +751,7 @@
 	// finding that out.
 	p.unfit, p.unfitTill = true, c.now.Steady+2*c.times.lease<<min(p.unfits, 6)
 	p.unfits++
-	c.info("none of this node's machines can be heard, leaving the map", "machines", len(p.rigs))
+	c.info("none of this node's machines can be heard, leaving the map", "machines", p.rigs.len())
 }
 
 // linkUp and linkDown follow the link to the leader. A new link starts with the
@@ -724,28 +792,34 @@
 		if d.Machine == "" {
 			t.since = c.now.Steady
 			p.assigned = append(p.assigned, t)
+			p.placeDue = true
 		} else if !p.holdRoom(d.Machine, t, &j.rec) {
 			p.returned = append(p.returned, wire.TaskTry{Task: d.Task, Attempt: d.Attempt})
 		}
 	}
 	p.settleHeld(m.Release, func(r *rig, t *placed) bool {
-		t.phase, t.state, r.urgent = phaseQueued, "", true
+		t.phase, t.state = phaseQueued, ""
+		p.hurry(r)
 		return true
 	})
 	p.settleHeld(m.Drop, func(r *rig, t *placed) bool { return false })
 	for _, s := range m.Stop {
-		for _, r := range p.rigs {
-			for _, t := range r.tasks {
-				if t.task == s.Task && t.live() {
-					t.stop, t.now, r.urgent = true, s.Now, true
-					c.debugf("stopping", "task", t.task, "machine", r.name, "why", s.Why)
-				}
+		r := p.rigs.get(s.Machine)
+		if r == nil {
+			continue
+		}
+		for _, t := range r.tasks {
+			if t.task == s.Task && t.live() {
+				t.stop, t.now = true, s.Now
+				p.hurry(r)
+				c.debugf("stopping", "task", t.task, "machine", r.name, "why", s.Why)
 			}
 		}
 	}
 	for _, name := range m.Drain {
-		if r := p.rigs[name]; r != nil && !r.draining {
-			r.draining, r.dirty = true, true
+		if r := p.rigs.get(name); r != nil && !r.draining {
+			r.draining = true
+			p.mark(r)
 		}
 	}
 }
@@ -769,14 +843,25 @@
 			m.Assigned = append(m.Assigned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
 		}
 	}
-	for _, name := range sortedKeys(p.rigs) {
-		if r := p.rigs[name]; r.dirty || p.full {
-			r.dirty = false
+	told := p.changed
+	if p.full {
+		told = told[:0]
+		for _, r := range p.rigs.all() {
+			told = append(told, r)
+		}
+	} else {
+		m.Dropped = p.dropped
+		slices.SortFunc(told, func(a, b *rig) int { return strings.Compare(a.name, b.name) })
+	}
+	for _, r := range told {
+		r.dirty = false
+		if p.rigs.get(r.name) == r {
 			m.Machines = append(m.Machines, p.picture(r))
 		}
 	}
+	p.changed, p.dropped = p.changed[:0], nil
 	m.Returned = p.returned
-	idle := !p.full && len(m.Machines) == 0 && len(m.Returned) == 0
+	idle := !p.full && len(m.Machines) == 0 && len(m.Returned) == 0 && len(m.Dropped) == 0
 	if idle && c.now.Steady-p.lastSent < c.times.round {
 		return
 	}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -1,72 +1,99 @@
 package core
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/chalkhub/chalkhub/internal/wire"
 )
 
+// victim is a task that may be stopped for others at a small loss.
+type victim struct {
+	f    *flight
+	name string
+	m    *planned
+	loss float64
+}
+
 // makeRoom stops tasks for the sake of a job that found no room: those that lose
 // least, and no more than the job can use. The tasks of lower urgency go for an
 // urgent job; for a job within its team's guarantee, what other teams run beyond
 // theirs.
-func (o *orchestrator) makeRoom(q *queued, rooms []*planned) {
+func (o *orchestrator) makeRoom(q *queued, p *plan) {
 	c := o.c
 	s := &q.j.rec.Spec
-	need := float64(q.waiting()) * s.CPUs
-	type victim struct {
-		f    *flight
-		name string
-		loss float64
+	may := o.hurries(q) || o.promised(q)
+	if !may && !(c.policy.PreemptForGuarantee && q.in) {
+		return
 	}
-	var victims []victim
-	for _, m := range rooms {
-		if !allows(s, m.typ) || s.Zone != "" && s.Zone != m.zone || m.spot && !s.Spot {
-			continue
+	if p.victims == nil {
+		o.findVictims(p)
+	}
+	need := float64(q.waiting()) * s.CPUs
+	for u := 3; u >= 0; u-- {
+		if u <= urgency(s.Urgency) && !(c.policy.PreemptForGuarantee && q.in) {
+			break
 		}
-		for name, f := range m.view.tasks {
-			if !o.yields(f.job, q) {
-				continue
-			}
-			if f.asked {
-				need -= f.job.j.rec.Spec.CPUs // room that is on its way
+		kept := p.victims[u][:0]
+		for _, v := range p.victims[u] {
+			vs := &v.f.job.j.rec.Spec
+			if need <= slack || !allows(s, v.m.typ) || s.Zone != "" && s.Zone != v.m.zone || v.m.spot && !s.Spot || !o.yields(v.f.job, q) {
+				kept = append(kept, v)
 				continue
 			}
-			if loss, ok := o.loss(f); ok {
-				victims = append(victims, victim{f, name, loss})
+			// What is asked already is room on its way, for the first who needs it.
+			need -= vs.CPUs
+			if !v.f.asked {
+				o.stop(v, q)
 			}
 		}
+		p.victims[u] = kept
 	}
-	sort.Slice(victims, func(a, b int) bool {
-		if victims[a].loss != victims[b].loss {
-			return victims[a].loss < victims[b].loss
-		}
-		return victims[a].name < victims[b].name
-	})
-	for _, v := range victims {
-		if need <= slack {
-			return
-		}
-		p := o.parts[v.f.part]
-		if p == nil || p.session == 0 {
+}
+
+// findVictims lists what may be stopped in this round.
+func (o *orchestrator) findVictims(p *plan) {
+	p.victims = map[int][]victim{}
+	for _, m := range p.rooms {
+		if m.part.session == 0 {
 			continue
 		}
-		vs := &v.f.job.j.rec.Spec
-		need -= vs.CPUs
-		v.f.asked = true
-		v.f.job.stops++
-		v.f.job.stopWhy = "tasks stopped to make room for more urgent work"
-		if urgency(vs.Urgency) <= urgency(s.Urgency) {
-			v.f.job.stopWhy = "tasks stopped to give another team its guarantee"
-		}
-		p.outbox.Stop = append(p.outbox.Stop, wire.TaskStop{Task: v.name, Why: v.f.job.stopWhy, Now: o.hurries(q)})
-		p.dirty = true
-		if v.f.job.stops == 1 {
-			c.info("stopping tasks", "job", v.f.job.id, "for", q.id, "why", v.f.job.stopWhy)
+		for name, f := range m.view.tasks {
+			vs := &f.job.j.rec.Spec
+			loss, ok := o.loss(f)
+			if f.asked {
+				loss, ok = -1, true
+			}
+			if ok && vs.Kind != wire.KindService {
+				u := urgency(vs.Urgency)
+				p.victims[u] = append(p.victims[u], victim{f, name, m, loss})
+			}
 		}
 	}
+	for _, list := range p.victims {
+		slices.SortFunc(list, func(a, b victim) int {
+			return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.name, b.name))
+		})
+	}
+}
+
+// stop asks for a task to be stopped for the sake of a job.
+func (o *orchestrator) stop(v victim, q *queued) {
+	job := v.f.job
+	v.f.asked = true
+	job.stops++
+	job.stopWhy = "tasks stopped to make room for more urgent work"
+	if urgency(job.j.rec.Spec.Urgency) <= urgency(q.j.rec.Spec.Urgency) {
+		job.stopWhy = "tasks stopped to give another team its guarantee"
+	}
+	p := v.m.part
+	p.outbox.Stop = append(p.outbox.Stop, wire.TaskStop{Task: v.name, Machine: v.m.name, Why: job.stopWhy, Now: o.hurries(q)})
+	p.dirty = true
+	if job.stops == 1 {
+		o.c.info("stopping tasks", "job", job.id, "for", q.id, "why", job.stopWhy)
+	}
 }
 
 // yields reports whether the tasks of one job may be stopped for another.
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -71,11 +71,14 @@
 	for _, j := range c.ledger.jobs {
 		s.Jobs[j.rec.State]++
 	}
-	for name, r := range c.part.rigs {
+	for name, r := range c.part.rigs.all() {
 		s.Machines[name] = Machine{Type: r.typ, Zone: r.zone, Spot: r.spot, Trusted: r.trusted, Silent: r.lapsed, Drain: r.draining, Tasks: len(r.tasks)}
 	}
 	if c.members.leading {
-		s.Teams, _ = c.orch.use()
+		s.Teams = map[string]float64{}
+		for team, u := range c.orch.use() {
+			s.Teams[team] = u.cpus
+		}
 		s.Desired = c.fleet.desired
 		s.Means = map[string]float64{}
 		s.Waits = map[string]Spread{}
@@ -87,8 +90,7 @@
 		for k, m := range c.est.names {
 			s.Means[k] = m.mean
 		}
-		for _, id := range sortedKeys(c.orch.queue) {
-			q := c.orch.queue[id]
+		for id, q := range c.orch.queue.all() {
 			s.Queue = append(s.Queue, Waiting{Job: id, Waiting: max(q.waiting(), 0), Flying: len(q.flights), Reason: q.reason})
 		}
 	}
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -22,10 +22,10 @@
 // story runs a world and fails on any broken rule.
 type story struct {
 	*fake.World
-	t *testing.T
+	t testing.TB
 }
 
-func begin(t *testing.T, seed uint64) *story {
+func begin(t testing.TB, seed uint64) *story {
 	t.Helper()
 	s := &story{World: fake.New(seed, 3), t: t}
 	if !s.Until(20*second, func() bool {
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -263,3 +263,12 @@
 
 // Running is how many tasks are on machines.
 func (j *Job) Running() int { return len(j.on) }
+
+// Running is how many tasks of all jobs are on machines.
+func (u *Users) Running() int {
+	n := 0
+	for _, j := range u.jobs {
+		n += len(j.on)
+	}
+	return n
+}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -13,6 +13,7 @@
 	Machines []MachineState `json:"machines,omitempty"`
 	Assigned []TaskTry      `json:"assigned,omitempty"` // dispatched, not placed yet
 	Returned []TaskTry      `json:"returned,omitempty"` // could not be placed
+	Dropped  []string       `json:"dropped,omitempty"`  // machines it no longer looks after
 	Unfit    bool           `json:"unfit,omitempty"`    // reaches no worker
 
 	Dispatch []TaskTry  `json:"dispatch,omitempty"`
@@ -44,9 +45,10 @@
 
 // TaskStop asks a part to stop a task.
 type TaskStop struct {
-	Task string `json:"task"`
-	Why  string `json:"why"`
-	Now  bool   `json:"now,omitempty"` // without time to save
+	Task    string `json:"task"`
+	Machine string `json:"machine"`
+	Why     string `json:"why"`
+	Now     bool   `json:"now,omitempty"` // without time to save
 }
 
 // MachineState is a part's picture of one machine. Sure means that no task but
