--- a/cmd/chalkhub/main.go
+++ b/cmd/chalkhub/main.go
@@ -94,7 +94,10 @@
 func run(set *config.Settings, policy config.Policy) error {
 	// One core at a time is ours, and memory over the limit ends the process.
 	runtime.GOMAXPROCS(1)
+	// The heap is small beside that limit, so the collector may run seldom: at its
+	// usual pace it took a tenth of our share of the processor.
 	debug.SetMemoryLimit(int64(set.Site.Resources.RAMMB * 0.7 * (1 << 20)))
+	debug.SetGCPercent(400)
 	log, level := logger()
 	log = log.With("node", set.Label)
 
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -94,7 +94,7 @@
 	part    string
 	mt      *wire.MachineType
 	tasks   map[string]*flight
-	strays  float64 // CPUs of listed tasks that are no flights
+	taken   usage // by them
 	emptyAt time.Duration
 	upAt    time.Duration
 	errors  map[string]bool // jobs that failed here since the last success
@@ -102,6 +102,25 @@
 	listed  uint64 // the epoch in which its part has listed it, 0: it no longer does
 }
 
+// take and give follow which flights a machine has a claim on.
+func (v *rigView) take(name string, f *flight) {
+	if v.tasks[name] != f {
+		v.give(name)
+		v.tasks[name] = f
+		v.taken.add(&f.job.j.rec.Spec, 1)
+	}
+}
+
+func (v *rigView) give(name string) {
+	if f := v.tasks[name]; f != nil {
+		delete(v.tasks, name)
+		v.taken.add(&f.job.j.rec.Spec, -1)
+	}
+	if len(v.tasks) == 0 {
+		v.taken = usage{} // no rounding is carried on
+	}
+}
+
 // partView is a member as the leader hears it.
 type partView struct {
 	label, boot string
@@ -142,9 +161,13 @@
 }
 
 // usage is what tasks take.
-type usage struct{ cpus, gpus float64 }
+type usage struct{ cpus, gpus, mem float64 }
 
-func (u *usage) add(s *wire.Job, n float64) { u.cpus += n * s.CPUs; u.gpus += n * s.GPUs }
+func (u *usage) add(s *wire.Job, n float64) {
+	u.cpus += n * s.CPUs
+	u.gpus += n * s.GPUs
+	u.mem += n * s.MemoryGB
+}
 
 // maxWait is the longest wait told apart, in ms.
 const maxWait = 3_600_000
@@ -297,14 +320,14 @@
 	} else if p.synced != o.epoch {
 		return // its whole picture is still to come
 	}
-	for i := range m.Machines {
-		o.machine(p, &m.Machines[i])
-	}
 	for _, name := range m.Dropped {
 		if v := o.rigs.get(name); v != nil && v.part == p.label {
 			v.listed = 0
 		}
 	}
+	for i := range m.Machines {
+		o.machine(p, &m.Machines[i])
+	}
 	for _, t := range m.Returned {
 		if f := o.tasks[t.Task]; f != nil && f.attempt == t.Attempt && f.open {
 			f.open = false
@@ -399,18 +422,38 @@
 	}
 	v.listed = o.epoch
 	wasUp := v.state.Up
+	if s.Partial {
+		old := &v.state
+		s.Addr, s.Type, s.Zone, s.Spot = old.Addr, old.Type, old.Zone, old.Spot
+		if s.Images == nil {
+			s.Images = old.Images
+		}
+	}
+	tasks := s.Tasks
 	v.state, v.part = *s, p.label
+	v.state.Tasks, v.state.Left = nil, nil
 	if s.Up && !wasUp && v.upAt < 0 {
 		v.upAt = o.c.now.Steady
 		v.emptyAt = o.c.now.Steady
 	}
-	listed := map[string]bool{}
-	v.strays = 0
-	for i := range s.Tasks {
-		t := &s.Tasks[i]
-		o.listedTask(p, v, s, t, listed)
+	for i := range tasks {
+		o.listedTask(p, v, s, &tasks[i])
 	}
-	if s.Sure {
+	switch {
+	case !s.Sure:
+	case s.Partial:
+		for _, name := range s.Left {
+			if f := v.tasks[name]; f != nil {
+				o.release(name, f, v)
+			}
+		}
+	default:
+		listed := map[string]bool{}
+		for i := range tasks {
+			if tasks[i].State != wire.TaskExited {
+				listed[tasks[i].Task] = true
+			}
+		}
 		for _, name := range sortedKeys(v.tasks) {
 			if !listed[name] {
 				o.release(name, v.tasks[name], v)
@@ -422,13 +465,16 @@
 	}
 }
 
-func (o *orchestrator) listedTask(p *partView, v *rigView, s *wire.MachineState, t *wire.TaskState, listed map[string]bool) {
+func (o *orchestrator) listedTask(p *partView, v *rigView, s *wire.MachineState, t *wire.TaskState) {
 	ref, index, err := wire.ParseTask(t.Task)
 	if err != nil {
 		return
 	}
 	j := o.c.ledger.accepted(ref)
 	if j == nil {
+		// The part's mirror is ahead of ours. It tells a task once, so it must
+		// be asked again.
+		p.outbox.Resync, p.dirty = true, true
 		return
 	}
 	f := o.tasks[t.Task]
@@ -441,7 +487,6 @@
 		}
 		return
 	}
-	listed[t.Task] = true
 	if f == nil {
 		q := o.queue.get(ref)
 		if q == nil {
@@ -459,7 +504,7 @@
 	// it: an old list of a dead machine once hid the machine that really ran it,
 	// and the task was started again when the dead one was deleted.
 	f.claims[s.Name] = true
-	v.tasks[t.Task] = f
+	v.take(t.Task, f)
 	if f.attempt != t.Attempt {
 		if other := o.rigs.get(f.machine); f.open || !s.Sure || other != nil && other.state.Sure && f.machine != s.Name {
 			return
@@ -471,7 +516,6 @@
 		wait := (o.c.now.Wall - j.rec.At) * 1000
 		_ = o.waits[urgency(j.rec.Spec.Urgency)].RecordValue(min(max(int64(wait), 1), maxWait)) // within bounds
 	}
-	v.tasks[t.Task] = f
 }
 
 // exited takes a task that has ended on its machine.
@@ -528,7 +572,7 @@
 
 // release takes back a machine's claim on a task: it surely is not there.
 func (o *orchestrator) release(name string, f *flight, v *rigView) {
-	delete(v.tasks, name)
+	v.give(name)
 	delete(f.claims, v.state.Name)
 	if f.machine == v.state.Name {
 		f.machine, f.state = "", ""
@@ -786,21 +830,20 @@
 	for name, rec := range o.unseen() {
 		mt := o.c.types()[rec.Type]
 		if mt == nil {
-			u = usage{math.Inf(1), math.Inf(1)}
+			u = usage{cpus: math.Inf(1), gpus: math.Inf(1)}
 			break
 		}
 		u.cpus += mt.CPUs
 		u.gpus += mt.GPUs
 		if v := o.rigs.get(name); v != nil {
-			for _, f := range v.tasks { // these are counted already
-				u.add(&f.job.j.rec.Spec, -1)
-			}
+			u.cpus -= v.taken.cpus // these are counted already
+			u.gpus -= v.taken.gpus
 		}
 	}
 	use := map[string]*usage{}
 	for i := range o.c.set.Site.Teams {
 		t := o.c.set.Site.Teams[i].Name
-		x := usage{max(u.cpus, 0), max(u.gpus, 0)}
+		x := usage{cpus: max(u.cpus, 0), gpus: max(u.gpus, 0)}
 		if own := o.used[t]; own != nil {
 			x.cpus += own.cpus
 			x.gpus += own.gpus
@@ -835,7 +878,8 @@
 	rooms   []*planned
 	free    []*planned // those with any room left
 	use     map[string]*usage
-	victims map[int][]victim // by urgency, what may be stopped, cheapest first; nil: not looked for yet
+	victims []victim // what may be stopped, cheapest first
+	looked  bool     // victims have been looked for
 }
 
 // planned is a machine in the leader's plan of one round.
@@ -863,11 +907,8 @@
 			continue
 		}
 		m := &planned{name: name, part: p, view: v, room: room{
-			cpus: v.mt.CPUs, gpus: v.mt.GPUs, mem: v.mt.MemoryGB, typ: s.Type, zone: s.Zone, spot: s.Spot, images: s.Images,
+			cpus: v.mt.CPUs - v.taken.cpus, gpus: v.mt.GPUs - v.taken.gpus, mem: v.mt.MemoryGB - v.taken.mem, typ: s.Type, zone: s.Zone, spot: s.Spot, images: s.Images,
 		}}
-		for _, f := range v.tasks {
-			m.take(&f.job.j.rec.Spec)
-		}
 		for _, f := range guessed[name] {
 			m.take(&f.job.j.rec.Spec)
 		}
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -42,6 +42,7 @@
 	now     bool // without time to save
 	spec    *wire.Job
 	stamp   uint64 // of the list it was last seen in
+	told    bool   // the leader knows of it as it is
 }
 
 // live reports whether the attempt takes room.
@@ -71,8 +72,11 @@
 	avoid        map[string]time.Duration // jobs whose tasks failed here
 	stamp        uint64
 
-	dirty   bool // its picture has changed since it was last told
-	free    room // what roomOf found, while counted is set
+	whole   bool     // the leader needs the whole picture of it
+	repaint bool     // its images have changed
+	left    []string // tasks that were dropped since the leader was told
+	dirty   bool     // its picture has changed since it was last told
+	free    room     // what roomOf found, while counted is set
 	counted bool
 }
 
@@ -176,6 +180,26 @@
 	p.hurried = later
 }
 
+// keep drops the tasks of a machine that f does not want kept.
+func (p *part) keep(r *rig, f func(*placed) bool) {
+	kept := r.tasks[:0]
+	for _, t := range r.tasks {
+		if f(t) {
+			kept = append(kept, t)
+			continue
+		}
+		r.left = append(r.left, t.task)
+		p.mark(r)
+	}
+	clear(r.tasks[len(kept):])
+	r.tasks = kept
+}
+
+// giveBack returns a task to the shared queue.
+func (p *part) giveBack(t *placed) {
+	p.returned = append(p.returned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
+}
+
 // forget drops a machine.
 func (p *part) forget(r *rig) {
 	p.rigs.delete(r.name)
@@ -205,19 +229,14 @@
 		r.trusted = false
 		r.asking, r.askAgain = 0, 0
 		r.draining = false
-		kept := r.tasks[:0]
-		for _, t := range r.tasks {
-			if t.phase > phaseQueued {
-				kept = append(kept, t)
-			}
-		}
-		r.tasks = kept
+		p.keep(r, func(t *placed) bool { return t.phase > phaseQueued })
 		if !(stayed && r.lapsed) {
 			// Whoever owned it before may have answered it until its mirror was
 			// too old to.
 			r.answered = max(r.answered, c.now.Steady+c.times.fresh)
 			r.lapsed = false
 		}
+		r.whole = true
 		p.mark(r)
 	}
 	if c.ledger.mapRec != nil {
@@ -242,7 +261,7 @@
 
 func (p *part) newRig(name string) *rig {
 	r := &rig{
-		name: name, token: p.epoch << tokenBits, answered: p.c.now.Steady, heard: p.c.now.Steady,
+		name: name, whole: true, token: p.epoch << tokenBits, answered: p.c.now.Steady, heard: p.c.now.Steady,
 		avoid: map[string]time.Duration{},
 	}
 	p.rigs.set(name, r)
@@ -270,7 +289,7 @@
 		// Nobody entitled has answered this worker for longer than its lease,
 		// so it has dropped its tasks, and a start still under way carries an
 		// earlier session.
-		r.lapsed, r.trusted = true, false
+		r.lapsed, r.trusted, r.whole = true, false, true
 		if len(r.tasks) > 0 {
 			c.info("machine is silent, its tasks are lost", "machine", r.name, "tasks", len(r.tasks))
 		}
@@ -337,24 +356,19 @@
 
 func (p *part) raise(r *rig) {
 	r.token++
-	r.trusted = false
+	r.trusted, r.whole = false, true
 	p.mark(r)
 }
 
 // dropDirect forgets starts that a refused /do carried.
 func (p *part) dropDirect(r *rig, id uint64) {
-	kept := r.tasks[:0]
-	for _, t := range r.tasks {
-		if t.phase == phaseDirect && t.doID == id {
-			p.returned = append(p.returned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
-			continue
+	p.keep(r, func(t *placed) bool {
+		if t.phase != phaseDirect || t.doID != id {
+			return true
 		}
-		kept = append(kept, t)
-	}
-	if len(kept) != len(r.tasks) {
-		p.mark(r)
-	}
-	r.tasks = kept
+		p.giveBack(t)
+		return false
+	})
 }
 
 // report takes a worker's report and answers it.
@@ -413,13 +427,7 @@
 	if rep.Session > r.session {
 		// The worker's lease ran out: everything from before is gone, and
 		// starts still under way carry the earlier session.
-		kept := r.tasks[:0]
-		for _, t := range r.tasks {
-			if t.phase <= phaseQueued {
-				kept = append(kept, t)
-			}
-		}
-		r.tasks = kept
+		p.keep(r, func(t *placed) bool { return t.phase <= phaseQueued })
 		p.mark(r)
 	}
 	r.session, r.seq = rep.Session, rep.Seq
@@ -433,6 +441,7 @@
 	was := r.trusted
 	r.trusted = rep.Token == r.token
 	if r.trusted != was {
+		r.whole = true
 		p.mark(r)
 	}
 	if !r.trusted {
@@ -444,27 +453,19 @@
 	for i := range rep.Tasks {
 		at = p.seen(r, &rep.Tasks[i], at)
 	}
-	kept := r.tasks[:0]
-	for _, t := range r.tasks {
-		keep := t.stamp == r.stamp
+	p.keep(r, func(t *placed) bool {
 		switch {
-		case keep:
-		case t.phase <= phaseQueued:
-			keep = true
+		case t.stamp == r.stamp, t.phase <= phaseQueued:
+			return true
 		case t.phase == phaseAnswered:
 			// Executed before this report was made, or never; a message made
 			// for a /do may be older than the response that carried it.
-			keep = !viaReport && t.token == r.token
+			return !viaReport && t.token == r.token
 		case t.phase == phaseDirect:
-			keep = t.token == r.token && t.doID != doID
+			return t.token == r.token && t.doID != doID
 		}
-		if keep {
-			kept = append(kept, t)
-		} else {
-			p.mark(r)
-		}
-	}
-	r.tasks = kept
+		return false
+	})
 }
 
 // seen takes one line of a trusted list. The search begins at a place, and the
@@ -514,7 +515,7 @@
 			p.c.info("task failed", "task", t.task, "machine", r.name, "why", tr.Why)
 		}
 	}
-	t.state, t.why = tr.State, tr.Why
+	t.state, t.why, t.told = tr.State, tr.Why, false
 	return at
 }
 
@@ -523,13 +524,14 @@
 		if x == image {
 			copy(r.images[i:], r.images[i+1:])
 			r.images[len(r.images)-1] = image
-			return
+			return // the order is for this part alone
 		}
 	}
 	r.images = append(r.images, image)
 	if len(r.images) > 8 {
 		r.images = r.images[1:]
 	}
+	r.repaint = true
 	p.mark(r)
 }
 
@@ -587,26 +589,22 @@
 func (p *part) jobOver(j *job) {
 	ref := j.rec.Spec.ID
 	for _, r := range p.rigs.all() {
-		kept := r.tasks[:0]
-		for _, t := range r.tasks {
-			if t.ref == ref {
-				if t.phase <= phaseQueued {
-					p.returned = append(p.returned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
-					p.mark(r)
-					continue
-				}
-				if t.live() {
-					p.hurry(r)
-				}
+		p.keep(r, func(t *placed) bool {
+			switch {
+			case t.ref != ref:
+			case t.phase <= phaseQueued:
+				p.giveBack(t)
+				return false
+			case t.live():
+				p.hurry(r)
 			}
-			kept = append(kept, t)
-		}
-		r.tasks = kept
+			return true
+		})
 	}
 	kept := p.assigned[:0]
 	for _, t := range p.assigned {
 		if t.ref == ref {
-			p.returned = append(p.returned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
+			p.giveBack(t)
 			continue
 		}
 		kept = append(kept, t)
@@ -653,7 +651,7 @@
 	for _, t := range p.assigned {
 		j := c.ledger.accepted(t.ref)
 		if j == nil || j.final() {
-			p.returned = append(p.returned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
+			p.giveBack(t)
 			continue
 		}
 		var best *rig
@@ -670,7 +668,7 @@
 			full[t.ref] = !t.spec.Spread
 			// Unplaced for one round: back to the shared queue.
 			if c.now.Steady-t.since >= c.times.round {
-				p.returned = append(p.returned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
+				p.giveBack(t)
 				continue
 			}
 			waiting = append(waiting, t)
@@ -713,13 +711,9 @@
 		if r == nil {
 			continue
 		}
-		kept := r.tasks[:0]
-		for _, t := range r.tasks {
-			if t.phase != phaseHeld || t.task != x.Task || t.attempt != x.Attempt || f(r, t) {
-				kept = append(kept, t)
-			}
-		}
-		r.tasks = kept
+		p.keep(r, func(t *placed) bool {
+			return t.phase != phaseHeld || t.task != x.Task || t.attempt != x.Attempt || f(r, t)
+		})
 		p.mark(r)
 	}
 }
@@ -798,7 +792,7 @@
 		}
 	}
 	p.settleHeld(m.Release, func(r *rig, t *placed) bool {
-		t.phase, t.state = phaseQueued, ""
+		t.phase, t.state, t.told = phaseQueued, "", false
 		p.hurry(r)
 		return true
 	})
@@ -855,6 +849,7 @@
 	}
 	for _, r := range told {
 		r.dirty = false
+		r.whole = r.whole || p.full
 		if p.rigs.get(r.name) == r {
 			m.Machines = append(m.Machines, p.picture(r))
 		}
@@ -874,15 +869,34 @@
 	c.emit(PeerSend{Session: p.link, Message: m})
 }
 
+// picture is what the leader is told of a machine: all of it, or what has changed.
 func (p *part) picture(r *rig) wire.MachineState {
 	s := wire.MachineState{
-		Name: r.name, Addr: r.addr, Type: r.typ, Zone: r.zone, Spot: r.spot,
-		Sure: r.trusted || r.lapsed, Up: r.trusted && !r.lapsed && r.mt != nil,
-		Notice: r.notice, Draining: r.draining, Images: append([]string(nil), r.images...),
-		Silent: r.silent,
+		Name: r.name, Sure: r.trusted || r.lapsed, Up: r.trusted && !r.lapsed && r.mt != nil,
+		Notice: r.notice, Draining: r.draining, Silent: r.silent, Partial: !r.whole,
+	}
+	if r.whole {
+		s.Addr, s.Type, s.Zone, s.Spot = r.addr, r.typ, r.zone, r.spot
+	}
+	if r.whole || r.repaint {
+		s.Images = append([]string(nil), r.images...)
 	}
 	for _, t := range r.tasks {
-		s.Tasks = append(s.Tasks, wire.TaskState{Task: t.task, Attempt: t.attempt, State: t.state, Why: t.why, RanS: t.ranS})
+		if r.whole || !t.told {
+			t.told = true
+			s.Tasks = append(s.Tasks, wire.TaskState{Task: t.task, Attempt: t.attempt, State: t.state, Why: t.why, RanS: t.ranS})
+			if !t.live() {
+				r.left = append(r.left, t.task)
+			}
+		}
+	}
+	if !r.whole {
+		for _, task := range r.left {
+			if !slices.ContainsFunc(r.tasks, func(t *placed) bool { return t.task == task && t.live() }) {
+				s.Left = append(s.Left, task)
+			}
+		}
 	}
+	r.whole, r.repaint, r.left = false, false, nil
 	return s
 }
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -28,34 +28,34 @@
 	if !may && !(c.policy.PreemptForGuarantee && q.in) {
 		return
 	}
-	if p.victims == nil {
+	if !p.looked {
+		p.looked = true
 		o.findVictims(p)
 	}
 	need := float64(q.waiting()) * s.CPUs
-	for u := 3; u >= 0; u-- {
-		if u <= urgency(s.Urgency) && !(c.policy.PreemptForGuarantee && q.in) {
-			break
+	fits := func(v *victim) bool {
+		return allows(s, v.m.typ) && (s.Zone == "" || s.Zone == v.m.zone) && (!v.m.spot || s.Spot) && o.yields(v.f.job, q)
+	}
+	// What was asked for already is room on its way, whoever it was asked for:
+	// counting it for one job alone stopped far more than was needed.
+	for i := range p.victims {
+		if v := &p.victims[i]; v.f.asked && fits(v) {
+			need -= v.f.job.j.rec.Spec.CPUs
 		}
-		kept := p.victims[u][:0]
-		for _, v := range p.victims[u] {
-			vs := &v.f.job.j.rec.Spec
-			if need <= slack || !allows(s, v.m.typ) || s.Zone != "" && s.Zone != v.m.zone || v.m.spot && !s.Spot || !o.yields(v.f.job, q) {
-				kept = append(kept, v)
-				continue
-			}
-			// What is asked already is room on its way, for the first who needs it.
-			need -= vs.CPUs
-			if !v.f.asked {
-				o.stop(v, q)
-			}
+	}
+	for i := range p.victims {
+		if need <= slack {
+			return
+		}
+		if v := &p.victims[i]; !v.f.asked && fits(v) {
+			need -= v.f.job.j.rec.Spec.CPUs
+			o.stop(v, q)
 		}
-		p.victims[u] = kept
 	}
 }
 
 // findVictims lists what may be stopped in this round.
 func (o *orchestrator) findVictims(p *plan) {
-	p.victims = map[int][]victim{}
 	for _, m := range p.rooms {
 		if m.part.session == 0 {
 			continue
@@ -63,24 +63,18 @@
 		for name, f := range m.view.tasks {
 			vs := &f.job.j.rec.Spec
 			loss, ok := o.loss(f)
-			if f.asked {
-				loss, ok = -1, true
-			}
-			if ok && vs.Kind != wire.KindService {
-				u := urgency(vs.Urgency)
-				p.victims[u] = append(p.victims[u], victim{f, name, m, loss})
+			if (ok || f.asked) && vs.Kind != wire.KindService {
+				p.victims = append(p.victims, victim{f, name, m, loss})
 			}
 		}
 	}
-	for _, list := range p.victims {
-		slices.SortFunc(list, func(a, b victim) int {
-			return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.name, b.name))
-		})
-	}
+	slices.SortFunc(p.victims, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.name, b.name))
+	})
 }
 
 // stop asks for a task to be stopped for the sake of a job.
-func (o *orchestrator) stop(v victim, q *queued) {
+func (o *orchestrator) stop(v *victim, q *queued) {
 	job := v.f.job
 	v.f.asked = true
 	job.stops++
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -52,7 +52,9 @@
 }
 
 // MachineState is a part's picture of one machine. Sure means that no task but
-// the listed ones can be on the machine; Up that it can be given work.
+// the listed ones can be on the machine; Up that it can be given work. A partial
+// picture has only the tasks that changed since the last one, those that are left
+// no longer on the machine, and none of what never changes.
 type MachineState struct {
 	Name     string      `json:"name"`
 	Addr     string      `json:"addr,omitempty"`
@@ -66,6 +68,8 @@
 	Silent   bool        `json:"silent,omitempty"` // not heard for half a lease, by report or /do
 	Images   []string    `json:"images,omitempty"`
 	Tasks    []TaskState `json:"tasks,omitempty"`
+	Partial  bool        `json:"partial,omitempty"`
+	Left     []string    `json:"left,omitempty"`
 }
 
 // TaskState is a task in a part's picture.
--- a/internal/wire/users.go
+++ b/internal/wire/users.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
-	"regexp"
+	"strings"
 )
 
 // Kinds of job.
@@ -71,10 +71,19 @@
 	Error string `msgpack:"error"`
 }
 
-var jobID = regexp.MustCompile(`^job-[0-9]{1,18}$`)
-
 // ValidJobID reports whether s has the form of a job id.
-func ValidJobID(s string) bool { return jobID.MatchString(s) }
+func ValidJobID(s string) bool {
+	digits, ok := strings.CutPrefix(s, "job-")
+	if !ok || digits == "" || len(digits) > 18 {
+		return false
+	}
+	for i := range len(digits) {
+		if digits[i] < '0' || digits[i] > '9' {
+			return false
+		}
+	}
+	return true
+}
 
 // DecodeJob reads a submission strictly: every field must be there with its
 // type, apart from those that may be null.
