A machine has its own time to answer before it is given up

Cause: a machine whose list is not to be trusted was deleted once the last change of the map was three reports ago. The time now runs from when the machine itself fell into doubt.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -816,9 +816,11 @@
 			// again; once the cloud has deleted it they are surely gone.
 			f.retire(h, "dead")
 			h.force = true
-		case v != nil && !v.state.Sure && c.now.Steady-c.orch.epochAt > 3*c.times.report && f.seenElsewhere(v):
+		case v != nil && !v.state.Sure && c.now.Steady-v.doubtAt > 3*c.times.report && f.seenElsewhere(v):
 			// After a change of the map, the last machines that do not answer
-			// hold up everything that may be running on them.
+			// hold up everything that may be running on them. Each has its own
+			// time to answer: counted from the change of the map alone, a quarter
+			// of the machines that came up later were deleted at their first word.
 			f.retire(h, "does not answer")
 			h.force = true
 		}
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -97,6 +97,7 @@
 	taken   usage // by them
 	emptyAt time.Duration
 	upAt    time.Duration
+	doubtAt time.Duration   // since when its list is not to be trusted, if it is not
 	errors  map[string]bool // jobs that failed here since the last success
 	sick    bool
 	listed  uint64 // the epoch in which its part has listed it, 0: it no longer does
@@ -347,7 +348,7 @@
 	o.epoch, o.epochAt = rec.Epoch, o.c.now.Steady
 	o.counter = 0
 	for _, v := range o.rigs.all() {
-		v.state.Sure, v.state.Up = false, false
+		v.state.Sure, v.state.Up, v.doubtAt = false, false, o.c.now.Steady
 	}
 	for name := range o.c.ledger.machines.all() {
 		o.view(name)
@@ -372,7 +373,7 @@
 func (o *orchestrator) view(name string) *rigView {
 	v := o.rigs.get(name)
 	if v == nil {
-		v = &rigView{name: name, tasks: map[string]*flight{}, errors: map[string]bool{}, emptyAt: o.c.now.Steady, upAt: -1}
+		v = &rigView{name: name, tasks: map[string]*flight{}, errors: map[string]bool{}, emptyAt: o.c.now.Steady, upAt: -1, doubtAt: o.c.now.Steady}
 		if rec := o.c.ledger.machines.get(name); rec != nil {
 			v.state = wire.MachineState{Name: name, Addr: rec.Addr, Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}
 			v.mt = o.c.types()[rec.Type]
@@ -429,6 +430,9 @@
 			s.Images = old.Images
 		}
 	}
+	if v.state.Sure && !s.Sure {
+		v.doubtAt = o.c.now.Steady
+	}
 	tasks := s.Tasks
 	v.state, v.part = *s, p.label
 	v.state.Tasks, v.state.Left = nil, nil
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -585,3 +585,21 @@
 	s.Run(s.Now + 60*second)
 	s.rules()
 }
+
+// A machine that has just come up has not shown its token yet. That is no reason
+// to give it back.
+func TestNewMachinesAreKept(t *testing.T) {
+	s := begin(t, 32)
+	for range 10 {
+		s.Cloud.Add("barn", "a", true)
+	}
+	s.Users.Submit(fake.Array(900), 40)
+	for i := range 40 {
+		s.At(s.Now+20*second+time.Duration(i)*second/7, func() { s.Cloud.Add("barn", "a", true) })
+	}
+	s.Run(s.Now + 30*second)
+	s.rules()
+	if s.Cloud.Deleted > 0 {
+		t.Fatalf("%d machines were deleted while work waits", s.Cloud.Deleted)
+	}
+}
