Remember a machine's images by the size of its cache

Cause: a part remembered the last eight images of a machine; the caches of 30 to 60 GB hold all of the thirty to forty in use, so tasks were sent to fetch what another machine had, and the leader's preference for a machine with the image met chance.

--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -95,6 +95,7 @@
 	mt      *wire.MachineType
 	tasks   map[string]*flight
 	taken   usage // by them
+	images  map[string]bool
 	emptyAt time.Duration
 	upAt    time.Duration
 	doubtAt time.Duration   // since when its list is not to be trusted, if it is not
@@ -426,8 +427,11 @@
 	if s.Partial {
 		old := &v.state
 		s.Addr, s.Type, s.Zone, s.Spot = old.Addr, old.Type, old.Zone, old.Spot
-		if s.Images == nil {
-			s.Images = old.Images
+	}
+	if s.Images != nil || !s.Partial {
+		v.images = map[string]bool{}
+		for _, image := range s.Images {
+			v.images[image] = true
 		}
 	}
 	if v.state.Sure && !s.Sure {
@@ -435,7 +439,7 @@
 	}
 	tasks := s.Tasks
 	v.state, v.part = *s, p.label
-	v.state.Tasks, v.state.Left = nil, nil
+	v.state.Tasks, v.state.Left, v.state.Images = nil, nil, nil
 	if s.Up && !wasUp && v.upAt < 0 {
 		v.upAt = o.c.now.Steady
 		v.emptyAt = o.c.now.Steady
@@ -911,7 +915,7 @@
 			continue
 		}
 		m := &planned{name: name, part: p, view: v, room: room{
-			cpus: v.mt.CPUs - v.taken.cpus, gpus: v.mt.GPUs - v.taken.gpus, mem: v.mt.MemoryGB - v.taken.mem, typ: s.Type, zone: s.Zone, spot: s.Spot, images: s.Images,
+			cpus: v.mt.CPUs - v.taken.cpus, gpus: v.mt.GPUs - v.taken.gpus, mem: v.mt.MemoryGB - v.taken.mem, typ: s.Type, zone: s.Zone, spot: s.Spot, images: v.images,
 		}}
 		for _, f := range guessed[name] {
 			m.take(&f.job.j.rec.Spec)
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -68,7 +68,7 @@
 	urgent       bool // send commands without waiting for the next report
 	registered   bool
 	tasks        []*placed
-	images       []string
+	images       images
 	avoid        map[string]time.Duration // jobs whose tasks failed here
 	stamp        uint64
 
@@ -502,7 +502,7 @@
 	if tr.State == wire.TaskRunning && t.since == 0 {
 		t.since = p.c.now.Steady
 		if t.spec != nil {
-			p.gotImage(r, t.spec.Image)
+			p.gotImage(r, t.spec)
 		}
 	}
 	if tr.State == wire.TaskExited && t.state != wire.TaskExited {
@@ -519,20 +519,16 @@
 	return at
 }
 
-func (p *part) gotImage(r *rig, image string) {
-	for i, x := range r.images {
-		if x == image {
-			copy(r.images[i:], r.images[i+1:])
-			r.images[len(r.images)-1] = image
-			return // the order is for this part alone
-		}
+// gotImage notes that a machine has, or is about to fetch, a task's image.
+func (p *part) gotImage(r *rig, j *wire.Job) {
+	cache := 0.0
+	if r.mt != nil {
+		cache = r.mt.CacheGB
 	}
-	r.images = append(r.images, image)
-	if len(r.images) > 8 {
-		r.images = r.images[1:]
+	if r.images.use(j.Image, j.ImageGB, cache) {
+		r.repaint = true
+		p.mark(r)
 	}
-	r.repaint = true
-	p.mark(r)
 }
 
 // commands lists what the machine must do now: kills first, then clears, then
@@ -618,7 +614,7 @@
 	if r.counted {
 		return &r.free
 	}
-	m := room{cpus: r.mt.CPUs, gpus: r.mt.GPUs, mem: r.mt.MemoryGB, typ: r.typ, zone: r.zone, spot: r.spot, images: r.images}
+	m := room{cpus: r.mt.CPUs, gpus: r.mt.GPUs, mem: r.mt.MemoryGB, typ: r.typ, zone: r.zone, spot: r.spot, images: r.images.has}
 	for _, t := range r.tasks {
 		if t.live() && t.spec != nil {
 			m.take(t.spec)
@@ -675,7 +671,7 @@
 			continue
 		}
 		if !best.room().has(t.spec.Image) {
-			p.gotImage(best, t.spec.Image)
+			p.gotImage(best, t.spec)
 		}
 		t.phase, t.since = phaseQueued, 0
 		c.debugf("placed", "task", t.task, "machine", best.name)
@@ -879,7 +875,7 @@
 		s.Addr, s.Type, s.Zone, s.Spot = r.addr, r.typ, r.zone, r.spot
 	}
 	if r.whole || r.repaint {
-		s.Images = append([]string(nil), r.images...)
+		s.Images = slices.Clone(r.images.names)
 	}
 	for _, t := range r.tasks {
 		if r.whole || !t.told {
--- a/internal/core/room.go
+++ b/internal/core/room.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"github.com/chalkhub/chalkhub/internal/wire"
 )
 
@@ -13,7 +15,7 @@
 	cpus, gpus, mem float64
 	typ, zone       string
 	spot            bool
-	images          []string
+	images          map[string]bool
 }
 
 func (r *room) fits(j *wire.Job) bool {
@@ -22,13 +24,38 @@
 
 func (r *room) take(j *wire.Job) { r.cpus -= j.CPUs; r.gpus -= j.GPUs; r.mem -= j.MemoryGB }
 
-func (r *room) has(image string) bool {
-	for _, i := range r.images {
-		if i == image {
-			return true
-		}
+func (r *room) has(image string) bool { return r.images[image] }
+
+// images is what a machine's cache should hold: it keeps those that were used
+// last, as many as fit.
+type images struct {
+	names []string // used last at the end
+	has   map[string]bool
+	gb    map[string]float64
+	sum   float64
+}
+
+// use notes that an image is used, and reports whether it is new.
+func (x *images) use(name string, gb, cache float64) bool {
+	if x.has == nil {
+		x.has, x.gb = map[string]bool{}, map[string]float64{}
 	}
-	return false
+	fresh := !x.has[name]
+	if fresh {
+		x.has[name], x.gb[name] = true, gb
+		x.sum += gb
+	} else {
+		x.names = slices.DeleteFunc(x.names, func(n string) bool { return n == name })
+	}
+	x.names = append(x.names, name)
+	for x.sum > cache && len(x.names) > 1 {
+		old := x.names[0]
+		x.names = x.names[1:]
+		x.sum -= x.gb[old]
+		delete(x.has, old)
+		delete(x.gb, old)
+	}
+	return fresh
 }
 
 // allows reports whether a job may run on a machine type at all.
