The register in few keys, and hiring in larger requests

Cause: one key for each machine and 16 or 20 changes to a transaction. Now one key holds some dozens of machines (half of the value limit), each written under the key's own version, and a request asks for up to what the protocol allows, spread over the zones before.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -38,12 +38,13 @@
 	timerID uint64
 	loop    []func() // messages to this node's own other half
 
-	ledger  *ledger
-	members *membership
-	part    *part
-	orch    *orchestrator
-	est     *estimator
-	fleet   *fleet
+	ledger   *ledger
+	members  *membership
+	part     *part
+	orch     *orchestrator
+	est      *estimator
+	fleet    *fleet
+	register *register
 }
 
 // times are the spans the rules rest on, as ratios to the settings.
@@ -80,6 +81,7 @@
 	c.part = newPart(c)
 	c.est = newEstimator(c)
 	c.fleet = newFleet(c)
+	c.register = &register{c: c}
 	c.orch = newOrchestrator(c)
 	return c
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -542,11 +542,12 @@
 			if short < o.mt.CPUs/2 && own <= 0 {
 				continue
 			}
-			n := min(max(int(math.Ceil(max(short, own)/o.mt.CPUs)), 1), wire.MaxHire)
+			n := max(int(math.Ceil(max(short, own)/o.mt.CPUs)), 1)
 			// Spread over the zones: none gets more than its share at once.
 			if strandedIn == "" {
-				n = max(1, (n+len(o.mt.Zones)-1)/len(o.mt.Zones))
+				n = (n + len(o.mt.Zones) - 1) / len(o.mt.Zones)
 			}
+			n = min(n, wire.MaxHire)
 			if f.pending(o.pool) || !f.spend() {
 				continue
 			}
@@ -865,25 +866,4 @@
 		f.holds.delete(n)
 		f.gone[n] = true
 	}
-	f.unregister()
-}
-
-// unregister takes deleted machines out of the register.
-func (f *fleet) unregister() {
-	c := f.c
-	if !c.members.leading {
-		return
-	}
-	var ops []wire.Op
-	for n := range c.ledger.machines.all() {
-		if f.gone[n] && len(ops) < c.set.Site.State.TxnOps {
-			ops = append(ops, wire.Op{Delete: keyMachine + n})
-		}
-	}
-	if len(ops) == 0 {
-		return
-	}
-	c.ledger.commit([]wire.Guard{c.members.leaderGuard()}, ops, func(d CommitDone) {
-		c.after(c.times.round, func() { c.ledger.barrier(func(bool) { f.unregister() }) })
-	})
 }
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -18,7 +18,7 @@
 	keyMap      = "c/map"
 	keyNode     = "c/node/"
 	keyProgress = "c/prog/"
-	keyMachine  = "c/rig/"
+	keyMachines = "c/rigs/"
 	keyTypes    = "c/types"
 )
 
@@ -62,6 +62,7 @@
 	leader   *wire.LeaderRecord
 	mapRec   *wire.MapRecord
 	machines *index[*wire.MachineRecord]
+	shelves  *index[[]string] // the register's keys, and the machines that each holds
 	types    map[string]*wire.MachineType
 	estimate *wire.EstimateRecord
 
@@ -81,7 +82,7 @@
 	l.jobs = map[string]*job{}
 	l.nodes = map[string]wire.NodeRecord{}
 	l.leader, l.mapRec, l.estimate = nil, nil, nil
-	l.machines = newIndex[*wire.MachineRecord]()
+	l.machines, l.shelves = newIndex[*wire.MachineRecord](), newIndex[[]string]()
 	l.types = map[string]*wire.MachineType{}
 }
 
@@ -234,11 +235,10 @@
 		if err = wire.Decode(value, &rec); err == nil {
 			l.nodes[key[len(keyNode):]] = rec
 		}
-	case strings.HasPrefix(key, keyMachine):
-		rec := &wire.MachineRecord{}
+	case strings.HasPrefix(key, keyMachines):
+		rec := &wire.MachinesRecord{}
 		if err = wire.Decode(value, rec); err == nil {
-			l.machines.set(key[len(keyMachine):], rec)
-			l.c.part.machineKnown(key[len(keyMachine):], rec)
+			l.putMachines(key[len(keyMachines):], rec)
 		}
 	case key == keyLeader:
 		rec := &wire.LeaderRecord{}
@@ -312,9 +312,8 @@
 	switch {
 	case strings.HasPrefix(key, keyNode):
 		delete(l.nodes, key[len(keyNode):])
-	case strings.HasPrefix(key, keyMachine):
-		l.machines.delete(key[len(keyMachine):])
-		l.c.part.tendAt = 0
+	case strings.HasPrefix(key, keyMachines):
+		l.removeMachines(key[len(keyMachines):])
 	case strings.HasPrefix(key, keyProgress):
 		id, num, _ := strings.Cut(key[len(keyProgress):], "/")
 		if b, err := strconv.Atoi(num); err == nil && l.jobs[id] != nil {
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -158,7 +158,6 @@
 	writesAt     time.Duration
 	saveDue      bool
 	saveAt       time.Duration
-	registering  bool
 	waits        [4]*hdrhistogram.Histogram // ms from submission to running, by urgency
 }
 
@@ -672,7 +671,7 @@
 	if o.lastSort == 0 || o.c.now.Steady-o.lastSort >= o.c.times.sort {
 		o.lastSort = o.c.now.Steady
 		o.forget()
-		o.register()
+		o.c.register.step()
 		o.settle()
 		ranked, waiting := o.round()
 		if o.c.now.Steady-o.lastRound >= o.c.times.round {
@@ -714,36 +713,6 @@
 	}
 }
 
-// register writes machines that have reported into the register: only those are
-// given work, so that a take-over knows which machines it must see.
-func (o *orchestrator) register() {
-	if o.registering {
-		return
-	}
-	var ops []wire.Op
-	for name, v := range o.rigs.all() {
-		if !v.state.Up || o.c.ledger.machines.get(name) != nil || o.c.fleet.leaving(name) {
-			continue
-		}
-		s := v.state
-		ops = append(ops, wire.Op{Put: keyMachine + name, Value: wire.MachineRecord{Addr: s.Addr, Type: s.Type, Zone: s.Zone, Spot: s.Spot}})
-		if len(ops) == o.c.set.Site.State.TxnOps {
-			break
-		}
-	}
-	if len(ops) == 0 {
-		return
-	}
-	o.registering = true
-	o.c.ledger.commit([]wire.Guard{o.c.members.leaderGuard()}, ops, func(d CommitDone) {
-		wait := time.Duration(0)
-		if d.Status != 200 {
-			wait = o.c.times.round / 4
-		}
-		o.c.after(wait, func() { o.c.ledger.barrier(func(bool) { o.registering = false }) })
-	})
-}
-
 // save makes completed tasks durable: jobs that are complete first, then
 // progress, as far as the write budget goes.
 func (o *orchestrator) save() {
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -41,3 +41,37 @@
 		})
 	}
 }
+
+// Hundreds of machines come up at once: the register must not take the write
+// budget of many seconds, and all of them work soon.
+func TestRegisterTakesFewWrites(t *testing.T) {
+	s := begin(t, 33)
+	s.Users.Submit(fake.Array(3200), 60)
+	s.Run(s.Now + 2*second)
+	before := s.State.Writes
+	for range 200 {
+		s.Cloud.Add("barn", "a", true)
+	}
+	s.within(8*second, "every machine works", func() bool { return s.Users.Running() >= 3200 })
+	if n := s.State.Writes - before; n > 40 {
+		t.Fatalf("%d writes for 200 machines", n)
+	}
+}
+
+// The rules hold at size too: a crash of the leader, a state outage, a crash of
+// every node, and machines that are taken away.
+func TestGrownThroughTroubles(t *testing.T) {
+	s := grown(t, 34, 150)
+	s.leader().Crash(3 * second)
+	s.Run(s.Now + 10*second)
+	s.State.Outage(8 * second)
+	for _, k := range s.SomeWorkers(15) {
+		s.Cloud.Remove(k.Info.Name)
+	}
+	s.Run(s.Now + 15*second)
+	for _, n := range s.Nodes {
+		n.Crash(4 * second)
+	}
+	s.within(60*second, "the machines are full again", func() bool { return s.Users.Running() >= 130*15 })
+	s.within(400*second, "nothing accepted is lost", s.Users.AllTold)
+}
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -40,6 +40,11 @@
 	Members map[string]string `msgpack:"members"` // label -> boot
 }
 
+// MachinesRecord is one key of the register of machines.
+type MachinesRecord struct {
+	Machines map[string]MachineRecord `msgpack:"machines"`
+}
+
 // MachineRecord says that a machine may have been given tasks.
 type MachineRecord struct {
 	Addr string `msgpack:"addr"`
