Closing machines: told to their parts, and emptied by moving tasks that save

Cause: parking was the leader's secret. A machine beyond a clear surplus is now closing: its part gives it no new task, it goes as soon as it is empty, and once it has been closing for a worker's lease and has only tasks that save their progress, these are stopped with time to save and start where there is room.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -21,7 +21,7 @@
 	listed          bool
 	missing         int // lists in a row that lacked it after it was listed
 	leaving         string
-	load            float64 // tasks for each of its CPUs
+	load            float64 // share of its CPUs that is taken
 	force           bool    // deleted without waiting for its tasks to end
 	deleting        bool
 }
@@ -44,7 +44,8 @@
 	holds     *index[*hold]
 	hirings   map[string]*hiring
 	gone      map[string]bool          // deleted, by the cloud's word
-	parked    map[string]bool          // gets no new tasks, to be returned when empty
+	parked    map[string]bool          // not counted on for new tasks, to be returned when empty
+	closing   map[string]bool          // those of them that get none while there is clearly too much
 	cuts      map[string]time.Duration // zones most of which is silent, since when
 	heard     map[string]int           // machines by zone that are heard and up,
 	known     map[string]int           // of so many
@@ -306,7 +307,8 @@
 // done as soon as a cheap machine pays; due for it to be done in time, which is
 // worth an ordinary machine; firm is the share of due that may not run on cheap
 // machines at all. rush is what to hire ordinary machines up to.
-type need struct{ soon, due, firm, rush float64 }
+// busy is what tasks take now.
+type need struct{ soon, due, firm, rush, busy float64 }
 
 // demand adds up what each unfinished job needs. Work is done in rank order, so
 // what a job waits for is all that ranks before it, and what of that kind is
@@ -323,6 +325,7 @@
 		flying := float64(len(q.flights))
 		pred := q.pred
 		cpus := (waiting + flying) * s.CPUs
+		d.busy += flying * s.CPUs
 		work := (waiting*pred + flying*pred/2) * s.CPUs
 		if s.Kind == wire.KindArray {
 			if len(q.failedOn) >= 3 && q.j.doneN+len(q.finished) == 0 {
@@ -707,7 +710,7 @@
 // boot left a full queue and empty machines.
 func (f *fleet) giveBack(d need, waiting []*queued) {
 	c := f.c
-	f.parked = map[string]bool{}
+	f.parked, f.closing = map[string]bool{}, map[string]bool{}
 	var up []*hold
 	var have, spot float64
 	for name, h := range f.holds.all() {
@@ -723,7 +726,7 @@
 		}
 	}
 	for _, h := range up {
-		h.load = float64(len(c.orch.rigs.get(h.name).tasks)) / c.types()[h.typ].CPUs
+		h.load = c.orch.rigs.get(h.name).taken.cpus / c.types()[h.typ].CPUs
 	}
 	sort.SliceStable(up, func(a, b int) bool {
 		if up[a].spot != up[b].spot {
@@ -731,23 +734,24 @@
 		}
 		return up[a].load < up[b].load
 	})
+	enough := max(d.soon, d.busy)
 	waiting = slices.DeleteFunc(slices.Clone(waiting), func(q *queued) bool { return !picky(q) })
 	for _, h := range up {
 		if f.claimed(h, waiting) {
 			continue
 		}
 		v, mt := c.orch.rigs.get(h.name), c.types()[h.typ]
-		if h.spot && have-mt.CPUs < d.soon || !h.spot && (have-mt.CPUs < d.due || have-spot-mt.CPUs < d.firm) {
+		if h.spot && have-mt.CPUs < enough || !h.spot && (have-mt.CPUs < d.due || have-spot-mt.CPUs < d.firm) {
 			continue
 		}
 		idle := len(v.tasks) == 0
+		surplus := have-mt.CPUs >= enough*5/4
 		if h.spot {
 			keep := config.Seconds(mt.BootS * c.policy.IdleBoots)
-			idle = idle && c.now.Steady-v.emptyAt >= keep
-			f.parked[h.name] = have-mt.CPUs >= d.soon*5/4
-		} else {
-			f.parked[h.name] = true
+			idle = idle && (surplus || c.now.Steady-v.emptyAt >= keep)
 		}
+		f.parked[h.name] = surplus || !h.spot
+		f.closing[h.name] = surplus
 		have -= mt.CPUs
 		if h.spot {
 			spot -= mt.CPUs
@@ -756,6 +760,8 @@
 			f.retire(h, "idle")
 		}
 	}
+	f.tellClosing()
+	f.moveOff(up)
 }
 
 // picky reports whether few machines can serve a job, or it needs many at once.
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -89,19 +89,21 @@
 
 // rigView is the leader's picture of a machine.
 type rigView struct {
-	name    string
-	state   wire.MachineState
-	part    string
-	mt      *wire.MachineType
-	tasks   map[string]*flight
-	taken   usage // by them
-	images  map[string]bool
-	emptyAt time.Duration
-	upAt    time.Duration
-	doubtAt time.Duration   // since when its list is not to be trusted, if it is not
-	errors  map[string]bool // jobs that failed here since the last success
-	sick    bool
-	listed  uint64 // the epoch in which its part has listed it, 0: it no longer does
+	name      string
+	state     wire.MachineState
+	part      string
+	mt        *wire.MachineType
+	tasks     map[string]*flight
+	taken     usage // by them
+	images    map[string]bool
+	closing   bool // as its part was told
+	closingAt time.Duration
+	emptyAt   time.Duration
+	upAt      time.Duration
+	doubtAt   time.Duration   // since when its list is not to be trusted, if it is not
+	errors    map[string]bool // jobs that failed here since the last success
+	sick      bool
+	listed    uint64 // the epoch in which its part has listed it, 0: it no longer does
 }
 
 // take and give follow which flights a machine has a claim on.
@@ -280,6 +282,9 @@
 	}
 	p.boot, p.session, p.heard, p.synced, p.sent = h.Boot, session, o.c.now.Steady, 0, 0
 	p.outbox, p.dirty = wire.PeerMessage{}, false
+	for _, v := range o.rigs.all() {
+		v.closing = v.closing && v.part != p.label
+	}
 	for _, q := range o.queue.all() {
 		q.said = wire.JobView{} // a new listener knows nothing yet
 	}
@@ -349,6 +354,7 @@
 	o.counter = 0
 	for _, v := range o.rigs.all() {
 		v.state.Sure, v.state.Up, v.doubtAt = false, false, o.c.now.Steady
+		v.closing = false
 	}
 	for name := range o.c.ledger.machines.all() {
 		o.view(name)
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -63,6 +63,7 @@
 	lapsed       bool // silent for so long that its worker has dropped everything
 	notice       bool
 	draining     bool
+	closing      bool   // gets no new tasks for now
 	asking       uint64 // the /do under way
 	askAgain     time.Duration
 	urgent       bool // send commands without waiting for the next report
@@ -228,7 +229,7 @@
 		r.token = e << tokenBits
 		r.trusted = false
 		r.asking, r.askAgain = 0, 0
-		r.draining = false
+		r.draining, r.closing = false, false
 		p.keep(r, func(t *placed) bool { return t.phase > phaseQueued })
 		if !(stayed && r.lapsed) {
 			// Whoever owned it before may have answered it until its mirror was
@@ -625,7 +626,7 @@
 }
 
 func (r *rig) open() bool {
-	return r.trusted && r.registered && !r.lapsed && !r.notice && !r.draining && r.mt != nil
+	return r.trusted && r.registered && !r.lapsed && !r.notice && !r.draining && !r.closing && r.mt != nil
 }
 
 // place finds room for what the leader has dispatched. A start goes out in the
@@ -748,6 +749,9 @@
 // whole picture; nothing that was sent over an earlier one is read any more.
 func (p *part) linkUp(session uint64) {
 	p.link, p.full, p.lastSeq = session, true, 0
+	for _, r := range p.rigs.all() {
+		r.closing = false // until the leader says so again
+	}
 	p.lastRead = p.c.now.Steady
 	p.c.emit(PeerSend{Session: session, Message: wire.PeerMessage{Hello: &wire.Hello{Label: p.c.set.Label, Boot: p.c.boot}}})
 }
@@ -806,6 +810,8 @@
 			}
 		}
 	}
+	p.close(m.Close, true)
+	p.close(m.Reopen, false)
 	for _, name := range m.Drain {
 		if r := p.rigs.get(name); r != nil && !r.draining {
 			r.draining = true
@@ -814,6 +820,15 @@
 	}
 }
 
+// close has machines kept from new tasks, or lets them have some again.
+func (p *part) close(names []string, closing bool) {
+	for _, name := range names {
+		if r := p.rigs.get(name); r != nil {
+			r.closing, p.placeDue = closing, true
+		}
+	}
+}
+
 // flush tells the leader what has changed.
 func (p *part) flush() {
 	c := p.c
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -75,18 +75,22 @@
 
 // stop asks for a task to be stopped for the sake of a job.
 func (o *orchestrator) stop(v *victim, q *queued) {
-	job := v.f.job
-	v.f.asked = true
-	job.stops++
-	job.stopWhy = "tasks stopped to make room for more urgent work"
-	if urgency(job.j.rec.Spec.Urgency) <= urgency(q.j.rec.Spec.Urgency) {
-		job.stopWhy = "tasks stopped to give another team its guarantee"
+	why := "tasks stopped to make room for more urgent work"
+	if urgency(v.f.job.j.rec.Spec.Urgency) <= urgency(q.j.rec.Spec.Urgency) {
+		why = "tasks stopped to give another team its guarantee"
 	}
-	p := v.m.part
-	p.outbox.Stop = append(p.outbox.Stop, wire.TaskStop{Task: v.name, Machine: v.m.name, Why: job.stopWhy, Now: o.hurries(q)})
+	o.ask(v.m.part, v.f, wire.TaskStop{Task: v.name, Machine: v.m.name, Why: why, Now: o.hurries(q)})
+}
+
+// ask has a part stop a task.
+func (o *orchestrator) ask(p *partView, f *flight, stop wire.TaskStop) {
+	f.asked = true
+	f.job.stops++
+	f.job.stopWhy = stop.Why
+	p.outbox.Stop = append(p.outbox.Stop, stop)
 	p.dirty = true
-	if job.stops == 1 {
-		o.c.info("stopping tasks", "job", job.id, "for", q.id, "why", job.stopWhy)
+	if f.job.stops == 1 {
+		o.c.info("stopping tasks", "job", f.job.id, "why", stop.Why)
 	}
 }
 
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -603,3 +603,21 @@
 		t.Fatalf("%d machines were deleted while work waits", s.Cloud.Deleted)
 	}
 }
+
+// After a burst, long tasks that save must not hold a machine each: they are moved
+// together and the rest of the machines go back.
+func TestLongTasksAreMovedTogether(t *testing.T) {
+	s := begin(t, 35)
+	for range 12 {
+		s.Cloud.Add("barn", "a", true)
+	}
+	big := fake.Array(12)
+	big.CPUs = 15
+	s.Users.Submit(big, 20)
+	long := fake.Array(12)
+	long.CheckpointS, long.SaveS = 5, 1
+	j := s.Users.Submit(long, 400)
+	s.within(60*second, "each machine has one of both", func() bool { return s.Users.Running() == 24 })
+	s.within(150*second, "most machines are returned", func() bool { return len(s.Workers) <= 4 })
+	s.within(20*second, "the long tasks go on", func() bool { return j.Running() == 12 })
+}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -21,6 +21,8 @@
 	Release  []TaskTry  `json:"release,omitempty"` // start what is held
 	Drop     []TaskTry  `json:"drop,omitempty"`    // let go what is held
 	Drain    []string   `json:"drain,omitempty"`
+	Close    []string   `json:"close,omitempty"`  // machines that get no new tasks
+	Reopen   []string   `json:"reopen,omitempty"` // machines that get them again
 	Views    []JobView  `json:"views,omitempty"`
 	Resync   bool       `json:"resync,omitempty"` // the whole picture again, please
 }
