A new session of a worker has a whole lease; late progress takes nothing back

The lease now counts at least from the first word of a session.

Cause of the second: progress that was applied late overwrote newer progress. The blocks are now written under their own version.

--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -785,11 +785,14 @@
 	if len(sets) == 0 {
 		return
 	}
-	// The guard on the job's key keeps progress from outliving the job.
+	// The guard on the job's key keeps progress from outliving the job, those on
+	// the blocks keep a write that is applied late from taking back what a later
+	// one has added: a task was once missing from both and never started again.
 	guards := []wire.Guard{o.c.members.leaderGuard(), {Key: keyJob + q.id, Version: q.j.version}}
 	var ops []wire.Op
 	for b := range wire.MaxTasks/progressBlock + 1 {
 		if s := sets[b]; s != nil && len(ops) < o.c.set.Site.State.TxnOps {
+			guards = append(guards, o.c.ledger.guard(progressKey(q.id, b)))
 			ops = append(ops, wire.Op{Put: progressKey(q.id, b), Value: wire.ProgressRecord{Bits: s.Text()}})
 		}
 	}
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -427,7 +427,11 @@
 	}
 	if rep.Session > r.session {
 		// The worker's lease ran out: everything from before is gone, and
-		// starts still under way carry the earlier session.
+		// starts still under way carry the earlier session. Its new session has a
+		// whole lease, whether a report of it is answered or not: a machine that
+		// was heard by /do alone was once taken for empty by the lease of its last
+		// session, just after tasks had been started on it.
+		r.answered = max(r.answered, p.c.now.Steady)
 		p.keep(r, func(t *placed) bool { return t.phase <= phaseQueued })
 		p.mark(r)
 	}
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -397,9 +397,11 @@
 
 // Whatever overlaps: crashes, cuts, lost machines, lost answers, outages. Seed 72 is
 // the day on which the old list of a dead machine hid where a task really ran, and
-// 2267 the one on which a machine deleted by an earlier leader held two back.
+// 2267 the one on which a machine deleted by an earlier leader held two back. On
+// 354 progress that was applied late took back a completed task; on 1280 a machine
+// that was heard by /do alone was taken for empty.
 func TestTroublesOverlap(t *testing.T) {
-	days := []uint64{2267}
+	days := []uint64{2267, 354, 1280}
 	for seed := range *seeds {
 		days = append(days, *firstSeed+seed)
 	}
