A job ranks by all that is left of it

Cause: by CPUs x duration of one task all jobs of a name tie, so waiting decided and the order was first come, first served. Ruled out there: machines (payments is at its limit of CPUs from 120 s on), processor time, the estimate.

The paper's product counts all GPUs of a job; here it now counts all unfinished tasks, aged as before.

--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -908,7 +908,7 @@
 
 // rank sorts the unfinished jobs: services, then what is urgent, then what its
 // team's guarantee covers, then by urgency, and on the ordinary path by CPUs
-// (GPUs) times predicted duration, which waiting shrinks.
+// (GPUs) times predicted duration of what is left of the job, which waiting shrinks.
 func (o *orchestrator) rank() []*queued {
 	o.guarantees()
 	var jobs []*queued
@@ -949,6 +949,12 @@
 		size = s.GPUs
 	}
 	aged := 1 + max(o.c.now.Wall-q.j.rec.At, 0)/(o.c.policy.AgingLeases*o.c.times.lease.Seconds())
+	if s.Kind != wire.KindService {
+		// All that is left of a job, as the paper counts all GPUs of a job. By a
+		// task's product alone the jobs of one name tie, their age decides, and
+		// under load they all wait as long as the last one may.
+		size *= float64(max(s.Tasks-q.j.doneN-len(q.finished), 1))
+	}
 	return band, size * q.pred / aged
 }
 
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -623,3 +623,17 @@
 	s.within(150*second, "most machines are returned", func() bool { return len(s.Workers) <= 4 })
 	s.within(20*second, "the long tasks go on", func() bool { return j.Running() == 12 })
 }
+
+// Of two jobs of one name, the one with less left comes first.
+func TestSmallJobPassesLargeOneOfItsName(t *testing.T) {
+	s := begin(t, 36)
+	s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = 0, 0
+	s.Cloud.Add("barn", "a", true)
+	large := s.Users.Submit(fake.Array(300), 10)
+	s.Run(s.Now + 5*second)
+	small := s.Users.Submit(fake.Array(16), 10)
+	s.within(40*second, "the small job is done", func() bool { return small.Told == wire.JobDone })
+	if large.Told == wire.JobDone {
+		t.Fatal("the large job was done first")
+	}
+}
