--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -331,7 +331,12 @@
 }
 
 func (p *part) didDo(d *DoDone) {
-	delete(p.fences, d.ID)
+	if p.fences[d.ID] {
+		// The next machine is asked at once: left to the regular look at the
+		// clocks, a part of a hundred machines took five seconds to fence them.
+		delete(p.fences, d.ID)
+		p.tendAt = 0
+	}
 	r := p.rigs.get(d.Machine)
 	if r == nil || r.asking != d.ID {
 		return
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/chalkhub/chalkhub/internal/fake"
@@ -75,3 +76,21 @@
 	s.within(60*second, "the machines are full again", func() bool { return s.Users.Running() >= 130*15 })
 	s.within(400*second, "nothing accepted is lost", s.Users.AllTold)
 }
+
+// After all nodes have ended, hundreds of machines are seen again, and none is
+// given up, within a few seconds.
+func TestTakeOverAtSize(t *testing.T) {
+	s := grown(t, 37, 300)
+	deleted := s.Cloud.Deleted
+	for _, n := range s.Nodes {
+		n.Crash(3 * second)
+	}
+	s.Logs = nil
+	s.within(5*second, "every machine has been seen", func() bool {
+		return strings.Contains(strings.Join(s.Logs, "\n"), "every machine has been seen")
+	})
+	s.Run(s.Now + 10*second)
+	if n := s.Cloud.Deleted - deleted; n > 0 {
+		t.Fatalf("%d machines were given up", n)
+	}
+}
