Reads of the state service are paced, so that renewals and submissions find room

Cause: every change ended the watch of every node, and barriers followed one another as fast as they were answered. Ruled out: the write limit (4,447 writes in 902 s against 80 a second).

Watches and barriers of one node now keep four times the nodes' share of a request apart, half of the limit for all. The stand-in for the state service refuses what is above the limits, and nodes can stand still and wake.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -56,6 +56,7 @@
 	gone   time.Duration // silence after which a worker has dropped its tasks
 	round  time.Duration // the leader's slow round: fleet, views, what could not be placed
 	sort   time.Duration // the leader's quick round: rank and dispatch
+	read   time.Duration // the shortest time between two barriers, and between two watches
 }
 
 func newTimes(s *config.Settings) times {
@@ -70,6 +71,8 @@
 	t.gone = t.lease + time.Duration(4*drift*float64(t.lease+t.fresh)) + t.report/8
 	t.round = time.Second
 	t.sort = min(t.report/6, t.round)
+	// All nodes' watches and barriers together take at most half of the requests.
+	t.read = time.Duration(4 * float64(len(s.Siblings)+1) / s.Site.State.RPS * float64(time.Second))
 	return t
 }
 
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -66,6 +66,8 @@
 	types    map[string]*wire.MachineType
 	estimate *wire.EstimateRecord
 
+	watchAt     time.Duration // when the next watch may be opened
+	barrierAt   time.Duration // when the next barrier may leave
 	barrierNow  []func(ok bool)
 	barrierNext []func(ok bool)
 
@@ -102,8 +104,26 @@
 	}
 	if !l.watching {
 		l.watching = true
-		l.c.emit(Follow{Since: l.revision, Hold: l.c.times.fresh / 8})
+		l.watchAt = l.paced(l.watchAt, func() {
+			l.c.emit(Follow{Since: l.revision, Hold: l.c.times.fresh / 8})
+		})
+	}
+}
+
+// paced sends a read of the state service, at once unless the last one of its
+// kind left only just now, and returns when the next may leave.
+//
+// Guards the state service's limit: with a wave of small jobs every change ended
+// the watch of every node and every poll asked for a barrier, one after the other
+// as fast as they were answered, until renewals and submissions got a 429.
+func (l *ledger) paced(at time.Duration, send func()) time.Duration {
+	now := l.c.now.Steady
+	if at <= now {
+		send()
+	} else {
+		l.c.after(at-now, send)
 	}
+	return max(at, now) + l.c.times.read
 }
 
 func (l *ledger) loaded(d LoadDone) {
@@ -184,8 +204,12 @@
 	if len(l.barrierNext) == 0 {
 		return
 	}
-	l.barrierNow, l.barrierNext = l.barrierNext, nil
-	l.c.emit(Follow{Since: l.revision, Barrier: true})
+	// Whoever asks before it leaves is served by it too.
+	l.barrierNow = []func(bool){}
+	l.barrierAt = l.paced(l.barrierAt, func() {
+		l.barrierNow, l.barrierNext = l.barrierNext, nil
+		l.c.emit(Follow{Since: l.revision, Barrier: true})
+	})
 }
 
 // commit runs a transaction; f gets the outcome.
@@ -412,7 +436,8 @@
 	l.commit([]wire.Guard{{Key: key}}, []wire.Op{{Put: key, Value: rec}}, func(d CommitDone) {
 		switch d.Status {
 		case 200:
-			l.c.debugf("accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks, "estimate", spec.EstimateS)
+			l.c.debugf("accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "urgency", spec.Urgency,
+				"tasks", spec.Tasks, "cpus", spec.CPUs, "estimate", spec.EstimateS, "checkpoint", spec.CheckpointS)
 			l.c.emit(Reply{ID: id, Status: 201, Body: wire.JobAnswer{ID: spec.ID, State: wire.JobQueued}})
 		case 409:
 			l.known(id, spec.ID) // another node was first, or an earlier try of ours
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/chalkhub/chalkhub/internal/core"
 	"github.com/chalkhub/chalkhub/internal/fake"
 	"github.com/chalkhub/chalkhub/internal/wire"
 )
@@ -212,6 +213,56 @@
 	s.within(200*second, "the job is done", s.Users.AllTold)
 }
 
+// A node that stands still and wakes has full queues, old timers and an old answer
+// on its tongue; nothing of it may be acted on by anybody.
+func TestNodeStandsStillAndWakes(t *testing.T) {
+	for seed := range uint64(6) {
+		s := busy(t, 80+seed, 15*second)
+		n := s.leader()
+		if seed%2 == 1 {
+			n = s.follower()
+		}
+		d := time.Duration(5+15*seed) * second
+		n.StandStill(d)
+		s.After(d/2, func() { s.Users.Submit(fake.Array(6), 10) })
+		s.within(300*second, "the work goes on", s.Users.AllTold)
+	}
+}
+
+// Users who ask many times as often, and a wave of small jobs, must not use up the
+// state service's requests: renewals and submissions need them.
+func TestPollsLeaveTheStateServiceRoom(t *testing.T) {
+	s := begin(t, 90)
+	j := s.Users.Submit(fake.Array(4), 60)
+	s.within(30*second, "the job is accepted", func() bool { return j.Accepted })
+	s.Run(s.Now + 5*second)
+	s.State.Refused = 0
+	asked, answered := 0, 0
+	for i := range 3000 {
+		s.At(s.Now+time.Duration(i)*5*time.Millisecond, func() {
+			n := s.Nodes[i%3]
+			asked++
+			n.Ask(func(id core.RequestID) core.Command { return core.Query{ID: id, Job: j.Spec.ID} }, func(r core.Reply) {
+				if r.Status == 200 {
+					answered++
+				}
+			})
+		})
+	}
+	for i := range 300 {
+		s.At(s.Now+time.Duration(i)*50*time.Millisecond, func() {
+			small := fake.Array(1)
+			small.CPUs = 0.25
+			s.Users.Submit(small, 8)
+		})
+	}
+	s.Run(s.Now + 16*second)
+	if s.State.Refused > 0 || answered < asked {
+		t.Fatalf("%d requests were refused, %d of %d polls answered", s.State.Refused, answered, asked)
+	}
+	s.within(200*second, "every job is done", s.Users.AllTold)
+}
+
 // Transactions without an answer that are applied late must not accept a job
 // twice, lose one or undo a cancellation.
 func TestLateTransactionsAndLostAnswers(t *testing.T) {
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -24,7 +24,36 @@
 	LateShare float64
 	LateBy    time.Duration
 	Writes    int
+	Refused   int // requests above the limits
 	watches   []*watch
+	requests  bucket
+	writes    bucket
+}
+
+// bucket is a limit by the second that allows bursts of one second's worth.
+type bucket struct {
+	used float64
+	at   time.Duration
+}
+
+func (b *bucket) take(now time.Duration, n, rate float64) bool {
+	b.used = max(b.used-(now-b.at).Seconds()*rate, 0)
+	b.at = now
+	if b.used+n > rate {
+		return false
+	}
+	b.used += n
+	return true
+}
+
+// limited reports whether a request with so many writes is above the limits.
+func (s *State) limited(writes int) bool {
+	set := s.w.Set.Site.State
+	if s.requests.take(s.w.Now, 1, set.RPS) && s.writes.take(s.w.Now, float64(writes), set.WriteRPS) {
+		return false
+	}
+	s.Refused++
+	return true
 }
 
 type entry struct {
@@ -104,6 +133,9 @@
 	if s.refuses(node) {
 		return e.Lease, 503
 	}
+	if s.limited(0) {
+		return e.Lease, 429
+	}
 	if e.Lease != 0 {
 		if s.leases[e.Lease] == nil {
 			return e.Lease, 404
@@ -122,6 +154,9 @@
 	if s.refuses(node) {
 		return 503, wire.TxnAnswer{}
 	}
+	if s.limited(len(t.Then)) {
+		return 429, wire.TxnAnswer{}
+	}
 	if s.LateShare > 0 && s.w.Rand.Float64() < s.LateShare {
 		s.w.After(time.Duration(s.w.Rand.Int64N(int64(s.LateBy)+1)), func() { s.apply(t) })
 		return 0, wire.TxnAnswer{}
@@ -168,7 +203,7 @@
 
 func (s *State) load(node string, sent time.Duration) core.LoadDone {
 	d := core.LoadDone{Sent: sent, Revision: s.rev}
-	if s.refuses(node) {
+	if s.refuses(node) || s.limited(0) {
 		return d
 	}
 	d.OK = true
@@ -197,6 +232,10 @@
 		}
 		return // open watches stay open
 	}
+	if s.limited(0) {
+		done(429, wire.Events{})
+		return
+	}
 	if e.Hold == 0 || s.rev > e.Since {
 		done(200, s.since(e.Since))
 		return
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -246,6 +246,24 @@
 	nextReq core.RequestID
 	waiting map[core.RequestID]func(core.Reply)
 	target  string
+	still   bool
+	tongue  []core.Effect // what it was about to do when it stood still
+}
+
+// StandStill stops the process where it is, without ending it: what it was about
+// to say is said when it wakes, and what comes meanwhile piles up.
+func (n *Node) StandStill(d time.Duration) {
+	n.still = true
+	n.w.After(d, n.inLife(func() {
+		n.still = false
+		said := n.tongue
+		n.tongue = nil
+		for _, e := range said {
+			n.perform(e)
+		}
+		n.woken = false
+		n.wake(0)
+	}))
 }
 
 // Start starts the process.
@@ -263,6 +281,7 @@
 	n.started = n.w.Now
 	n.waiting = map[core.RequestID]func(core.Reply){}
 	n.queue, n.woken, n.target = nil, false, ""
+	n.still, n.tongue = false, nil
 	n.wake(0)
 }
 
@@ -320,10 +339,17 @@
 
 func (n *Node) step() {
 	n.woken = false
+	if n.still && n.tongue != nil {
+		return
+	}
 	cmds := n.queue
 	n.queue = nil
 	now := core.Now{Steady: n.clock(), Wall: 1e9 + n.w.Now.Seconds()}
 	effects := append([]core.Effect(nil), n.Core.Apply(now, cmds)...)
+	if n.still {
+		n.tongue = effects // decided, and not done before it wakes
+		return
+	}
 	for _, e := range effects {
 		n.perform(e)
 	}
