Orchestrator, part and fleet are split by what they own

No behaviour changes but one log line: while machines have not been seen after a change of leader, the leader says once a round how many and names some.

--- /dev/null
+++ b/internal/core/demand.go
@@ -0,0 +1,167 @@
+package core
+
+import (
+	"math"
+
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// need is how many CPUs the unfinished work should have. soon is for work to be
+// done as soon as a cheap machine pays; due for it to be done in time, which is
+// worth an ordinary machine; firm is the share of due that may not run on cheap
+// machines at all. rush is what to hire ordinary machines up to.
+// busy is what tasks take now.
+type need struct{ soon, due, firm, rush, busy float64 }
+
+// demand adds up what each unfinished job needs. Work is done in rank order, so
+// what a job waits for is all that ranks before it, and what of that kind is
+// still to come while it waits: due is the capacity at which the worst-off job
+// is just in time.
+func (f *fleet) demand(ranked []*queued) need {
+	c := f.c
+	var d need
+	soon := map[string]float64{}
+	var ahead, firm float64
+	for _, q := range ranked {
+		s := &q.j.rec.Spec
+		waiting := float64(max(q.waiting(), 0))
+		flying := float64(len(q.flights))
+		pred := q.pred
+		cpus := (waiting + flying) * s.CPUs
+		d.busy += flying * s.CPUs
+		work := (waiting*pred + flying*pred/2) * s.CPUs
+		if s.Kind == wire.KindArray {
+			if len(q.failedOn) >= 3 && q.j.doneN+len(q.finished) == 0 {
+				waiting = min(waiting, 1) // fails wherever it runs: worth no machines
+				work = waiting * pred * s.CPUs
+			}
+			cpus = min(waiting+flying, math.Ceil(work/s.CPUs/max(f.soonest(s), pred, 1))) * s.CPUs
+		}
+		if t := c.team(s.Team); t != nil && t.CPUsMax > 0 {
+			cpus = max(min(cpus, t.CPUsMax-soon[s.Team]), 0)
+			soon[s.Team] += cpus
+		}
+		d.soon += cpus
+		if s.Kind != wire.KindArray {
+			d.due += cpus // replicas run for ever: their room is never free
+			if !s.Spot {
+				firm += cpus
+			}
+			continue
+		}
+		ahead += work
+		if !s.Spot {
+			firm += min(cpus, work/f.horizon(q, pred))
+		}
+		if waiting > 0 {
+			left := f.horizon(q, pred)
+			need := ahead/left + f.inflow(q)
+			d.due = max(d.due, need)
+			// A machine hired now helps only once it has booted.
+			if left >= f.soonest(s)*f.c.policy.RushBoots {
+				d.rush = max(d.rush, need)
+			}
+		}
+	}
+	d.soon += f.burst
+	d.due = min(d.due, d.soon)
+	d.rush = min(d.rush, d.soon)
+	d.firm = firm + (d.due-firm)*(1-c.policy.SpotShare)
+	return d
+}
+
+// inflow is how many CPUs the work that keeps coming in, and ranks before a job,
+// takes.
+func (f *fleet) inflow(q *queued) float64 {
+	u := urgency(q.j.rec.Spec.Urgency)
+	var sum float64
+	for v, x := range f.coming {
+		if v < u {
+			sum += x
+		}
+	}
+	return sum
+}
+
+// arrived counts a new job's work into the inflow of its urgency.
+func (f *fleet) arrived(q *queued) {
+	s := &q.j.rec.Spec
+	span := 8 * f.c.times.lease.Seconds()
+	for _, a := range f.c.set.Site.Objectives {
+		if a.Kind == "wait" && a.Class == s.Class {
+			f.burst = max(f.burst, float64(s.Tasks)*s.CPUs)
+			f.burstAt = f.c.now.Steady
+		}
+	}
+	f.coming[urgency(s.Urgency)] += float64(s.Tasks) * s.CPUs * f.c.est.predict(s) / span
+}
+
+// fade lets the inflow fall with the time since it came.
+func (f *fleet) fade() {
+	span := 8 * f.c.times.lease.Seconds()
+	dt := (f.c.now.Steady - f.fadedAt).Seconds()
+	f.fadedAt = f.c.now.Steady
+	f.burst *= math.Exp(-dt / span)
+	if f.c.now.Steady-f.burstAt > 3*f.c.times.lease {
+		f.burst = 0
+	}
+	for u, x := range f.coming {
+		f.coming[u] = x * math.Exp(-dt/span)
+	}
+}
+
+// soonest is the shortest time in which queued work is worth a cheap machine:
+// its boot is paid as well.
+func (f *fleet) soonest(s *wire.Job) float64 {
+	boot := math.Inf(1)
+	for _, t := range f.c.types() {
+		if allows(s, t.Name) && holds(t, s) {
+			boot = min(boot, t.BootS)
+		}
+	}
+	if math.IsInf(boot, 1) {
+		return 0
+	}
+	return boot * f.c.policy.SoonBoots
+}
+
+// horizon is the time in which a job's queued work must be done to be in time.
+// Once it is too late for that, a cheap machine is all that it is worth.
+func (f *fleet) horizon(q *queued, pred float64) float64 {
+	s := &q.j.rec.Spec
+	age := max(f.c.now.Wall-q.j.rec.At, 0)
+	patient := 10 * f.c.times.lease.Seconds()
+	h := math.Inf(1)
+	for _, a := range f.c.set.Site.Objectives {
+		if a.Kind == "guarantee" && q.in {
+			// Guaranteed work that waits will start late whatever is hired; it
+			// should not wait much longer than a boot.
+			h = min(h, 2*f.soonest(s))
+		}
+		if a.Class != s.Class {
+			continue
+		}
+		left := math.Inf(1)
+		switch a.Kind {
+		case "finished":
+			left = a.WithinS - age
+		case "deadline":
+			if s.DeadlineS > 0 {
+				left = s.DeadlineS*max(a.Times, 1) - age
+			}
+		case "wait":
+			left = pred
+		}
+		// An aim that allows more misses is worth less haste.
+		if left > 0 {
+			h = min(h, left*min(f.c.policy.HorizonShare+haste*(1-a.Share), 1))
+		}
+	}
+	if math.IsInf(h, 1) {
+		h = patient
+	}
+	return max(h, f.soonest(s))
+}
+
+// haste is how much of a job's time one miss in a hundred gives back.
+const haste = 6
--- /dev/null
+++ b/internal/core/dispatch.go
@@ -0,0 +1,243 @@
+package core
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// plan is what one round works with: the room on every machine that can be given
+// work, and what each team uses. The round fills both up as it goes.
+type plan struct {
+	rooms   []*planned
+	free    []*planned // those with any room left
+	use     map[string]*usage
+	victims []victim // what may be stopped, cheapest first
+	looked  bool     // victims have been looked for
+}
+
+// planned is a machine in the leader's plan of one round.
+type planned struct {
+	room
+	name string
+	part *partView
+	view *rigView
+	warm bool // holds the image of the job that is looked at
+}
+
+func (o *orchestrator) plan() *plan {
+	guessed := map[string][]*flight{}
+	for _, f := range o.tasks {
+		if f.open {
+			guessed[f.guess] = append(guessed[f.guess], f)
+		}
+	}
+	out := &plan{use: o.use()}
+	for name, v := range o.rigs.all() {
+		p := o.parts[v.part]
+		s := &v.state
+		if !s.Up || !s.Sure || s.Notice || s.Draining || v.sick || v.mt == nil || o.c.ledger.machines.get(name) == nil ||
+			p == nil || p.session == 0 || p.synced != o.epoch || o.c.fleet.leaving(name) || o.c.fleet.parked[name] {
+			continue
+		}
+		m := &planned{name: name, part: p, view: v, room: room{
+			cpus: v.mt.CPUs - v.taken.cpus, gpus: v.mt.GPUs - v.taken.gpus, mem: v.mt.MemoryGB - v.taken.mem, typ: s.Type, zone: s.Zone, spot: s.Spot, images: v.images,
+		}}
+		for _, f := range guessed[name] {
+			m.take(&f.job.j.rec.Spec)
+		}
+		out.rooms = append(out.rooms, m)
+		if m.cpus > slack {
+			out.free = append(out.free, m)
+		}
+	}
+	return out
+}
+
+// dispatch sends the waiting tasks of a job to parts with room, roomiest first.
+func (o *orchestrator) dispatch(q *queued, p *plan) {
+	c := o.c
+	s := &q.j.rec.Spec
+	if !o.startable(q, p) {
+		return
+	}
+	fitting := o.fitting(s, p)
+	at, held, sent := 0, 0, 0
+	if c.debug {
+		defer func() {
+			if sent > 0 || q.reason != "" {
+				c.debugf("ranked", "job", q.id, "predicted", q.pred, "guaranteed", q.in, "dispatched", sent, "waiting", q.waiting(), "reason", q.reason)
+			}
+		}()
+	}
+	// Counted once: counting anew for each task of a huge job took the round's
+	// whole share of the processor.
+	left := q.waiting()
+	q.low = q.next(q.low)
+	for i := q.low; i < s.Tasks && sent < left; i = q.next(i + 1) {
+		if q.hold[i] > c.now.Steady {
+			held++
+			continue
+		}
+		if o.overLimit(s, 1, p) {
+			q.reason = fmt.Sprintf("team %s is at its limit", s.Team)
+			return
+		}
+		var m *planned
+		if s.Spread {
+			for _, x := range fitting {
+				if x.fits(s) && mayRun(&q.j.rec, i, x.typ, x.zone, x.spot) {
+					m = x
+					break
+				}
+			}
+		} else {
+			for at < len(fitting) && !(fitting[at].fits(s) && mayRun(&q.j.rec, i, fitting[at].typ, fitting[at].zone, fitting[at].spot)) {
+				at++
+			}
+			if at < len(fitting) {
+				m = fitting[at]
+			}
+		}
+		if m == nil {
+			if q.reason == "" {
+				q.reason = o.noRoom(s)
+			}
+			if q.stops > 0 {
+				q.reason = q.stopWhy + "; " + q.reason
+			}
+			o.makeRoom(q, p)
+			return
+		}
+		m.take(s)
+		o.send(q, i, m, o.newAttempt(), false, p)
+		sent++
+	}
+	if held > 0 {
+		q.reason = q.failedWhere()
+	}
+}
+
+// fitting lists the machines with room for a task, in the order in which they
+// are filled. What is full by now leaves the plan's free machines.
+func (o *orchestrator) fitting(s *wire.Job, p *plan) []*planned {
+	var out []*planned
+	room := map[*partView]float64{}
+	free := p.free[:0]
+	for _, m := range p.free {
+		if m.cpus <= slack {
+			continue
+		}
+		free = append(free, m)
+		if m.fits(s) && mayUse(s, m.typ, m.zone, m.spot) {
+			m.warm = m.has(s.Image)
+			out = append(out, m)
+			room[m.part] += m.cpus
+		}
+	}
+	p.free = free
+	sort.SliceStable(out, func(a, b int) bool {
+		x, y := out[a], out[b]
+		if x.warm != y.warm {
+			return x.warm
+		}
+		if x.spot != y.spot {
+			return x.spot
+		}
+		if x.part != y.part && room[x.part] != room[y.part] {
+			return room[x.part] > room[y.part]
+		}
+		return x.tighter(&y.room)
+	})
+	return out
+}
+
+// startable says why a job can't be dispatched yet, whatever the room.
+func (o *orchestrator) startable(q *queued, p *plan) bool {
+	s := &q.j.rec.Spec
+	if q.limbo {
+		q.reason = "waits until every machine has been seen after a change of leader"
+		return false
+	}
+	if (s.OneZone || s.Spread) && len(q.j.rec.Zones) == 0 {
+		o.chooseZones(q, p.rooms)
+		q.reason = "waits for its zone to be chosen"
+		return false
+	}
+	return true
+}
+
+// newAttempt gives a number that no start has had, without a write: the epoch and
+// a count within it.
+func (o *orchestrator) newAttempt() uint64 {
+	o.counter++
+	return o.epoch<<attemptBits | o.counter
+}
+
+// send dispatches a task to the part that owns m; hold asks for that very
+// machine to keep room. The team's quota is debited here.
+func (o *orchestrator) send(q *queued, i int, m *planned, attempt uint64, hold bool, p *plan) {
+	s := &q.j.rec.Spec
+	if u := p.use[s.Team]; u != nil {
+		u.add(s, 1)
+	}
+	f := &flight{job: q, index: i, attempt: attempt, guess: m.name, part: m.part.label,
+		session: m.part.session, seq: m.part.sent + 1, open: true, claims: map[string]bool{}}
+	name := wire.TaskName(q.id, i)
+	o.debit(name, f)
+	delete(q.hold, i)
+	try := wire.TaskTry{Task: name, Attempt: f.attempt}
+	if hold {
+		try.Machine = m.name
+	}
+	m.part.outbox.Dispatch = append(m.part.outbox.Dispatch, try)
+	m.part.dirty = true
+}
+
+func (o *orchestrator) noRoom(s *wire.Job) string {
+	if why := o.c.fleet.refused(s); why != "" {
+		return why
+	}
+	return "waits for room on a machine of its types and zone"
+}
+
+// chooseZones writes down where the tasks of a job tied to a zone may run,
+// before the first of them starts, so that every later leader keeps to it.
+func (o *orchestrator) chooseZones(q *queued, rooms []*planned) {
+	if q.choosing || q.ending || q.writing {
+		return
+	}
+	s := &q.j.rec.Spec
+	free := map[string]float64{}
+	for _, t := range o.c.types() {
+		if allows(s, t.Name) && holds(t, s) {
+			for _, z := range t.Zones {
+				if s.Zone == "" || s.Zone == z {
+					free[z] += 0
+				}
+			}
+		}
+	}
+	for _, m := range rooms {
+		if _, ok := free[m.zone]; ok && allows(s, m.typ) && m.fits(s) {
+			free[m.zone] += m.cpus
+		}
+	}
+	zones := sortedKeys(free)
+	sort.SliceStable(zones, func(a, b int) bool { return free[zones[a]] > free[zones[b]] })
+	need := 1
+	if s.Spread && s.Tasks > 1 {
+		need = 2
+	}
+	if len(zones) < need {
+		return
+	}
+	rec := q.j.rec
+	rec.Zones = zones[:need]
+	q.choosing = true
+	guards := []wire.Guard{o.c.members.leaderGuard(), {Key: keyJob + q.id, Version: q.j.version}}
+	o.c.ledger.commit(guards, []wire.Op{{Put: keyJob + q.id, Value: rec}}, func(CommitDone) {
+		o.c.ledger.barrier(func(bool) { q.choosing = false })
+	})
+}
--- /dev/null
+++ b/internal/core/fence.go
@@ -0,0 +1,152 @@
+package core
+
+import "github.com/chalkhub/chalkhub/internal/wire"
+
+// tend looks after a machine's clock: fencing, silence, machines that are gone.
+func (p *part) tend(r *rig) {
+	c := p.c
+	if r.registered && c.ledger.machines.get(r.name) == nil {
+		p.forget(r) // deleted: it and its tasks are gone
+		return
+	}
+	if !r.registered && c.now.Steady-r.heard > 4*c.times.gone {
+		p.forget(r)
+		return
+	}
+	if r.mt == nil {
+		if r.mt = c.types()[r.typ]; r.mt != nil {
+			p.mark(r)
+		}
+	}
+	if !r.lapsed && c.now.Steady-r.answered > c.times.gone {
+		// Nobody entitled has answered this worker for longer than its lease,
+		// so it has dropped its tasks, and a start still under way carries an
+		// earlier session.
+		r.lapsed, r.trusted, r.whole = true, false, true
+		if len(r.tasks) > 0 {
+			c.info("machine is silent, its tasks are lost", "machine", r.name, "tasks", len(r.tasks))
+		}
+		r.tasks = nil
+		p.mark(r)
+	}
+	if silent := c.now.Steady-r.heard > c.times.lease/2; silent != r.silent {
+		r.silent = silent
+		p.mark(r)
+	}
+	// An empty /do fences a machine, or finds out that it only has trouble
+	// reaching us. After a change of the map hundreds are due at once: asking all
+	// of them took the processor for seconds in which their reports, which do as
+	// well, were not answered.
+	due := r.trusted && c.now.Steady-r.heard > 2*c.times.report || !r.trusted && r.addr != "" && !r.lapsed
+	if due && r.asking == 0 && c.now.Steady >= r.askAgain && len(p.fences) < max(p.rigs.len()/askShare, askLeast) {
+		p.do(r, nil)
+	}
+}
+
+// So many machines of a part are asked at once by /do without commands.
+const (
+	askShare = 16 // one in so many
+	askLeast = 4
+)
+
+// do sends commands straight to a worker; without commands it only fences.
+func (p *part) do(r *rig, cmds []wire.Command) {
+	p.doID++
+	r.asking = p.doID
+	r.urgent = false
+	if len(cmds) == 0 {
+		p.fences[r.asking] = true
+	}
+	p.c.emit(Do{Machine: r.name, ID: p.doID, Addr: r.addr, Body: wire.Do{Token: r.token, Session: max(r.session, 1), Commands: cmds}})
+}
+
+func (p *part) didDo(d *DoDone) {
+	if p.fences[d.ID] {
+		// The next machine is asked at once: left to the regular look at the
+		// clocks, a part of a hundred machines took five seconds to fence them.
+		delete(p.fences, d.ID)
+		p.tendAt = 0
+	}
+	r := p.rigs.get(d.Machine)
+	if r == nil || r.asking != d.ID {
+		return
+	}
+	c := p.c
+	r.asking = 0
+	defer p.tend(r)
+	switch d.Status {
+	case 200:
+		r.heard = c.now.Steady
+		p.read(r, &d.Report, d.ID, false)
+	case 409:
+		// Nothing was executed. A higher token than ours means that a newer map
+		// is on its way to us.
+		r.heard = c.now.Steady
+		again := d.Report.Session != r.session && d.Report.Token <= r.token
+		p.dropDirect(r, d.ID)
+		p.read(r, &d.Report, d.ID, false)
+		if again {
+			r.askAgain = 0
+		} else {
+			r.askAgain = c.now.Steady + c.times.report
+		}
+	default:
+		// A start without an answer may be executed at any time while token and
+		// session match: it stays pinned here until the machine has shown a
+		// raised token.
+		for _, t := range r.tasks {
+			if t.phase == phaseDirect && t.doID == d.ID {
+				p.raise(r)
+				break
+			}
+		}
+		r.askAgain = c.now.Steady + c.times.report
+	}
+}
+
+func (p *part) raise(r *rig) {
+	r.token++
+	r.trusted, r.whole = false, true
+	p.mark(r)
+}
+
+// dropDirect forgets starts that a refused /do carried.
+func (p *part) dropDirect(r *rig, id uint64) {
+	p.keep(r, func(t *placed) bool {
+		if t.phase != phaseDirect || t.doID != id {
+			return true
+		}
+		p.giveBack(t)
+		return false
+	})
+}
+
+// fitness gives the membership up when this node hears the leader but none of
+// its machines: others may reach them. It tries again after a lease.
+func (p *part) fitness() {
+	c := p.c
+	if p.unfit {
+		if c.now.Steady >= p.unfitTill {
+			p.unfit = false
+			c.info("joining again")
+		}
+		return
+	}
+	if !p.mine || p.rigs.len() < 2 || c.now.Steady-p.since < c.times.lease/3 {
+		return
+	}
+	for _, r := range p.rigs.all() {
+		if c.now.Steady-r.heard < c.times.lease/3 {
+			if r.trusted {
+				p.unfits = 0
+			}
+			return
+		}
+	}
+	// Each time in vain it stays away for twice as long: when it is the machines
+	// that are dead, leaving and joining in turn kept every new owner from ever
+	// finding that out.
+	p.unfit, p.unfitTill = true, c.now.Steady+2*c.times.lease<<min(p.unfits, 6)
+	p.unfits++
+	c.info("none of this node's machines can be heard, leaving the map", "machines", p.rigs.len())
+}
--- /dev/null
+++ b/internal/core/flight.go
@@ -0,0 +1,183 @@
+package core
+
+import (
+	"iter"
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// The leader's book-keeping of what has been dispatched: which machine holds which
+// task, surely or perhaps, and when a task is surely on none.
+
+// flight is a task that has been dispatched and may be on a machine.
+type flight struct {
+	job     *queued
+	index   int
+	attempt uint64
+	machine string          // where it is, as far as is known
+	claims  map[string]bool // every machine that lists it, surely or perhaps
+	open    bool            // dispatched, the part has not told where to
+	guess   string          // where the plan saw room for it
+	part    string
+	session uint64 // the link that its dispatch went over
+	seq     uint64 // and the message that carried it
+	limbo   bool   // its part is gone and it may be on any machine not seen yet
+	state   string
+	runAt   time.Duration // when it was first seen running, 0: not yet
+	asked   bool          // to stop
+}
+
+// rigView is the leader's picture of a machine.
+type rigView struct {
+	state     wire.MachineState
+	part      string
+	mt        *wire.MachineType
+	tasks     map[string]*flight
+	taken     usage // by them
+	images    map[string]bool
+	closing   bool // as its part was told
+	closingAt time.Duration
+	emptyAt   time.Duration
+	upAt      time.Duration
+	doubtAt   time.Duration   // since when its list is not to be trusted, if it is not
+	errors    map[string]bool // jobs that failed here since the last success
+	sick      bool
+	listed    uint64 // the epoch in which its part has listed it, 0: it no longer does
+}
+
+// take and give follow which flights a machine has a claim on.
+func (v *rigView) take(name string, f *flight) {
+	if v.tasks[name] != f {
+		v.give(name)
+		v.tasks[name] = f
+		v.taken.add(&f.job.j.rec.Spec, 1)
+	}
+}
+
+func (v *rigView) give(name string) {
+	if f := v.tasks[name]; f != nil {
+		delete(v.tasks, name)
+		v.taken.add(&f.job.j.rec.Spec, -1)
+	}
+	if len(v.tasks) == 0 {
+		v.taken = usage{} // no rounding is carried on
+	}
+}
+
+func (o *orchestrator) view(name string) *rigView {
+	v := o.rigs.get(name)
+	if v == nil {
+		v = &rigView{tasks: map[string]*flight{}, errors: map[string]bool{}, emptyAt: o.c.now.Steady, upAt: -1, doubtAt: o.c.now.Steady}
+		if rec := o.c.ledger.machines.get(name); rec != nil {
+			v.state = wire.MachineState{Name: name, Addr: rec.Addr, Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}
+			v.mt = o.c.types()[rec.Type]
+		}
+		o.rigs.set(name, v)
+	}
+	return v
+}
+
+// release takes back a machine's claim on a task: it surely is not there.
+func (o *orchestrator) release(name string, f *flight, v *rigView) {
+	v.give(name)
+	delete(f.claims, v.state.Name)
+	if f.machine == v.state.Name {
+		f.machine, f.state = "", ""
+		for _, m := range sortedKeys(f.claims) {
+			f.machine = m
+		}
+	}
+	o.land(name, f)
+}
+
+// debit counts a flight against its team's limit.
+func (o *orchestrator) debit(name string, f *flight) {
+	o.tasks[name] = f
+	f.job.flights[f.index] = f
+	s := &f.job.j.rec.Spec
+	u := o.used[s.Team]
+	if u == nil {
+		u = &usage{}
+		o.used[s.Team] = u
+	}
+	u.add(s, 1)
+}
+
+// land credits a flight if its task is surely on no machine and on its way to
+// none.
+func (o *orchestrator) land(name string, f *flight) {
+	if f.open || f.limbo || len(f.claims) > 0 {
+		return
+	}
+	q := f.job
+	if o.tasks[name] == f {
+		delete(o.tasks, name)
+		o.used[q.j.rec.Spec.Team].add(&q.j.rec.Spec, -1)
+	}
+	if q.flights[f.index] == f {
+		delete(q.flights, f.index)
+		q.low = min(q.low, f.index)
+	}
+	if q.j.final() && len(q.flights) == 0 {
+		o.queue.delete(q.id)
+	}
+}
+
+// unseen walks over the machines that may hold tasks this leader does not know.
+func (o *orchestrator) unseen() iter.Seq2[string, *wire.MachineRecord] {
+	return func(yield func(string, *wire.MachineRecord) bool) {
+		for name, rec := range o.c.ledger.machines.all() {
+			if v := o.rigs.get(name); (v == nil || !v.state.Sure) && !o.c.fleet.wasDeleted(name) && !yield(name, rec) {
+				return
+			}
+		}
+	}
+}
+
+// settle frees what was in doubt once every machine has been seen.
+func (o *orchestrator) settle() {
+	if !o.doubt {
+		return
+	}
+	var missing []string
+	for name := range o.unseen() {
+		missing = append(missing, name)
+	}
+	if len(missing) > 0 {
+		if o.c.now.Steady-o.saidAt >= o.c.times.round {
+			o.saidAt = o.c.now.Steady
+			o.c.info("machines not seen yet", "count", len(missing), "among them", missing[:min(len(missing), 5)])
+		}
+		return
+	}
+	o.doubt = false
+	for _, q := range o.queue.all() {
+		q.limbo = false
+	}
+	for _, name := range sortedKeys(o.tasks) {
+		if f := o.tasks[name]; f.limbo {
+			f.limbo = false
+			o.land(name, f)
+		}
+	}
+	o.lastSort = 0
+	o.c.info("every machine has been seen")
+}
+
+// forget drops the machines that are surely gone.
+func (o *orchestrator) forget() {
+	for name, v := range o.rigs.all() {
+		// A machine that no part lists and that is out of the register was
+		// deleted by an earlier leader; what it was thought to run once held two
+		// tasks back for ever. The wait lets the mirror catch up.
+		forgotten := v.listed != o.epoch && o.c.ledger.machines.get(name) == nil && o.c.now.Steady-o.epochAt > 2*o.c.times.fresh
+		if forgotten || o.c.fleet.wasDeleted(name) {
+			// Deleted by the cloud's word: it and its tasks are gone.
+			for _, t := range sortedKeys(v.tasks) {
+				o.release(t, v.tasks[t], v)
+			}
+			o.rigs.delete(name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/place.go
@@ -0,0 +1,151 @@
+package core
+
+import (
+	"slices"
+
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// commands lists what the machine must do now: kills first, then clears, then
+// starts. doID is that of the /do they go with, 0 for a response to a report.
+func (p *part) commands(r *rig, doID uint64) []wire.Command {
+	var cmds, clears []wire.Command
+	clearNow := false
+	for _, t := range r.tasks {
+		if t.phase != phaseListed {
+			continue
+		}
+		j := p.c.ledger.accepted(t.ref)
+		over := j == nil || j.final()
+		switch {
+		case t.state == wire.TaskExited:
+			// A completed task is cleared only once that is durable, or a crash
+			// of every controller would lose the only trace of it.
+			if t.why != wire.WhyDone || over || j.isDone(t.index) || j.rec.Spec.Kind == wire.KindService {
+				clears = append(clears, wire.Command{Op: wire.OpForget, Task: t.task, Attempt: t.attempt})
+				clearNow = clearNow || t.why != wire.WhyDone || p.c.now.Steady-t.ended > p.c.times.lease/2
+			}
+		case over || j.isDone(t.index):
+			cmds = append(cmds, wire.Command{Op: wire.OpStop, Task: t.task, Attempt: t.attempt})
+		case t.stop && (t.now || t.state != wire.TaskSaving):
+			stop := wire.Command{Op: wire.OpStop, Task: t.task, Attempt: t.attempt}
+			if !t.now {
+				stop.GraceS = j.rec.Spec.SaveS
+			}
+			cmds = append(cmds, stop)
+		}
+	}
+	starts := len(cmds)
+	for _, t := range r.tasks {
+		if t.phase != phaseQueued {
+			continue
+		}
+		t.token = r.token
+		if doID != 0 {
+			t.phase, t.doID = phaseDirect, doID
+		} else {
+			t.phase = phaseAnswered
+		}
+		cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: t.task, Attempt: t.attempt})
+	}
+	// Each change of its list makes a worker report once more. Clearing alone is
+	// no reason for that: it waits for other commands, but not for long.
+	if clearNow || len(cmds) > 0 {
+		cmds = slices.Insert(cmds, starts, clears...)
+	}
+	return cmds
+}
+
+// command sends what is urgent by /do.
+func (p *part) command(r *rig) {
+	r.urgent = false
+	if cmds := p.commands(r, p.doID+1); len(cmds) > 0 {
+		p.do(r, cmds)
+	}
+}
+
+// place finds room for what the leader has dispatched. A start goes out in the
+// response to the machine's next report, or by /do if that is far.
+func (p *part) place() {
+	c := p.c
+	if len(p.assigned) == 0 || !p.placeDue && c.now.Steady < p.placeAt {
+		return
+	}
+	p.placeDue, p.placeAt = false, c.now.Steady+c.times.sort
+	var open []*rig
+	for _, r := range p.rigs.all() {
+		if r.open() && r.room().cpus > slack {
+			open = append(open, r)
+		}
+	}
+	full := map[string]bool{} // jobs that found no room: their other tasks won't either
+	waiting := p.assigned[:0]
+	for _, t := range p.assigned {
+		j := c.ledger.accepted(t.ref)
+		if j == nil || j.final() {
+			p.giveBack(t)
+			continue
+		}
+		var best *rig
+		if !full[t.ref] {
+			for _, r := range open {
+				m := r.room()
+				if m.fits(t.spec) && mayRun(&j.rec, t.index, r.typ, r.zone, r.spot) && r.avoid[t.ref] <= c.now.Steady &&
+					(best == nil || better(m, best.room(), t.spec.Image)) {
+					best = r
+				}
+			}
+		}
+		if best == nil {
+			full[t.ref] = !t.spec.Spread
+			// Unplaced for one round: back to the shared queue.
+			if c.now.Steady-t.since >= c.times.round {
+				p.giveBack(t)
+				continue
+			}
+			waiting = append(waiting, t)
+			continue
+		}
+		if !best.room().has(t.spec.Image) {
+			p.gotImage(best, t.spec)
+		}
+		t.phase, t.since = phaseQueued, 0
+		c.debugf("placed", "task", t.task, "machine", best.name)
+		best.tasks = append(best.tasks, t)
+		p.mark(best)
+		if best.heard+c.times.report-c.now.Steady > c.times.report/6 {
+			p.hurry(best)
+		}
+	}
+	p.assigned = waiting
+	p.placeDue = false // what was marked here only lost room
+}
+
+// holdRoom keeps room on a machine for a task of a gang.
+func (p *part) holdRoom(machine string, t *placed, rec *wire.JobRecord) bool {
+	r := p.rigs.get(machine)
+	if r == nil || !r.open() || !mayRun(rec, t.index, r.typ, r.zone, r.spot) {
+		return false
+	}
+	if !r.room().fits(t.spec) {
+		return false
+	}
+	t.phase, t.state = phaseHeld, wire.StateHeld
+	r.tasks = append(r.tasks, t)
+	p.mark(r)
+	return true
+}
+
+// settleHeld lets f decide which of the held tasks stay.
+func (p *part) settleHeld(list []wire.TaskTry, f func(*rig, *placed) bool) {
+	for _, x := range list {
+		r := p.rigs.get(x.Machine)
+		if r == nil {
+			continue
+		}
+		p.keep(r, func(t *placed) bool {
+			return t.phase != phaseHeld || t.task != x.Task || t.attempt != x.Attempt || f(r, t)
+		})
+		p.mark(r)
+	}
+}
--- /dev/null
+++ b/internal/core/rank.go
@@ -0,0 +1,72 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// rank sorts the unfinished jobs: services, then what is urgent, then what its
+// team's guarantee covers, then by urgency, and on the ordinary path by CPUs
+// (GPUs) times predicted duration of what is left of the job, which waiting shrinks.
+func (o *orchestrator) rank() []*queued {
+	o.guarantees()
+	var jobs []*queued
+	for _, q := range o.queue.all() {
+		if q.j.final() || q.ending {
+			continue
+		}
+		q.reason = ""
+		if q.fails > 0 && q.j.doneN+len(q.finished) == 0 {
+			q.reason = q.failedWhere()
+		}
+		q.pred = o.c.est.predict(&q.j.rec.Spec)
+		q.band, q.size = o.order(q)
+		jobs = append(jobs, q)
+	}
+	slices.SortStableFunc(jobs, func(a, b *queued) int {
+		return cmp.Or(cmp.Compare(a.band, b.band), cmp.Compare(a.size, b.size))
+	})
+	return jobs
+}
+
+// order is a job's band, and its size within that.
+func (o *orchestrator) order(q *queued) (band int, size float64) {
+	s := &q.j.rec.Spec
+	u := urgency(s.Urgency)
+	switch {
+	case s.Kind == wire.KindService:
+		band = u - 10
+	case u <= 1:
+		band = u
+	case q.in:
+		band = 2
+	default:
+		band = 10 + u
+	}
+	size = s.CPUs
+	if s.GPUs > 0 {
+		size = s.GPUs
+	}
+	aged := 1 + max(o.c.now.Wall-q.j.rec.At, 0)/(o.c.policy.AgingLeases*o.c.times.lease.Seconds())
+	if s.Kind != wire.KindService {
+		// All that is left of a job, as the paper counts all GPUs of a job. By a
+		// task's product alone the jobs of one name tie, their age decides, and
+		// under load they all wait as long as the last one may.
+		size *= float64(max(s.Tasks-q.j.doneN-len(q.finished), 1))
+	}
+	return band, size * q.pred / aged
+}
+
+func urgency(u string) int {
+	switch u {
+	case wire.UrgencyProduction:
+		return 0
+	case wire.UrgencyHigh:
+		return 1
+	case wire.UrgencyNormal:
+		return 2
+	}
+	return 3
+}
--- /dev/null
+++ b/internal/core/report.go
@@ -0,0 +1,168 @@
+package core
+
+import "github.com/chalkhub/chalkhub/internal/wire"
+
+// report takes a worker's report and answers it.
+func (p *part) report(id RequestID, rep *wire.Report) {
+	c := p.c
+	if c.ledger.ready {
+		if e := c.members.epoch(); e != p.epoch {
+			p.newEpoch(e)
+		}
+	}
+	if !c.members.entitled() || c.ledger.mapRec == nil {
+		c.emit(Reply{ID: id, Status: 503, Body: wire.ErrorAnswer{Error: "not entitled"}})
+		return
+	}
+	if owner := c.members.owner(rep.Machine); owner != c.set.Label || !p.mine {
+		c.emit(Reply{ID: id, Status: 421, Body: wire.Redirect{ReportTo: owner}})
+		return
+	}
+	r := p.rigs.get(rep.Machine)
+	if r == nil {
+		r = p.newRig(rep.Machine)
+		r.addr, r.typ, r.zone, r.spot = rep.Addr, rep.Type, rep.Zone, rep.Spot
+		r.mt = c.types()[r.typ]
+		r.registered = c.ledger.machines.get(r.name) != nil
+	}
+	if rep.Token > r.token {
+		// Somebody has a newer map than we do.
+		c.emit(Reply{ID: id, Status: 503, Body: wire.ErrorAnswer{Error: "not entitled"}})
+		return
+	}
+	newest := rep.Newer(r.session, r.seq)
+	r.heard, r.answered = c.now.Steady, max(r.answered, c.now.Steady)
+	if r.silent {
+		r.silent = false
+		p.mark(r)
+	}
+	if newest {
+		p.read(r, rep, 0, true)
+	}
+	ans := wire.ReportAnswer{Token: r.token}
+	if newest && r.trusted {
+		p.place()
+		ans.Commands = p.commands(r, 0)
+	}
+	c.emit(Reply{ID: id, Status: 200, Body: ans})
+}
+
+// read takes what a machine says of itself. Only a message with our own current
+// token is believed: one with an older token may miss a start that a former
+// owner's command has yet to cause.
+func (p *part) read(r *rig, rep *wire.Report, doID uint64, viaReport bool) {
+	c := p.c
+	if !rep.Newer(r.session, r.seq) {
+		return
+	}
+	if rep.Session > r.session {
+		// The worker's lease ran out: everything from before is gone, and
+		// starts still under way carry the earlier session. Its new session has a
+		// whole lease, whether a report of it is answered or not: a machine that
+		// was heard by /do alone was once taken for empty by the lease of its last
+		// session, just after tasks had been started on it.
+		r.answered = max(r.answered, p.c.now.Steady)
+		p.keep(r, func(t *placed) bool { return t.phase <= phaseQueued })
+		p.mark(r)
+	}
+	r.session, r.seq = rep.Session, rep.Seq
+	if n := rep.NoticeS != nil; n != r.notice {
+		r.notice = n
+		p.mark(r)
+		if n {
+			c.info("machine will be taken back", "machine", r.name, "seconds", *rep.NoticeS)
+		}
+	}
+	was := r.trusted
+	r.trusted = rep.Token == r.token
+	if r.trusted != was {
+		r.whole = true
+		p.mark(r)
+	}
+	if !r.trusted {
+		return
+	}
+	r.lapsed = false
+	r.stamp++
+	at := 0
+	for i := range rep.Tasks {
+		at = p.seen(r, &rep.Tasks[i], at)
+	}
+	p.keep(r, func(t *placed) bool {
+		switch {
+		case t.stamp == r.stamp, t.phase <= phaseQueued:
+			return true
+		case t.phase == phaseAnswered:
+			// Executed before this report was made, or never; a message made
+			// for a /do may be older than the response that carried it.
+			return !viaReport && t.token == r.token
+		case t.phase == phaseDirect:
+			return t.token == r.token && t.doID != doID
+		}
+		return false
+	})
+}
+
+// seen takes one line of a trusted list. The search begins at a place, and the
+// place after the one found is returned: lists keep their order, so that a
+// machine of many tasks is not searched from the start for each.
+func (p *part) seen(r *rig, tr *wire.TaskReport, at int) int {
+	var t *placed
+	for n := range r.tasks {
+		i := (at + n) % len(r.tasks)
+		if x := r.tasks[i]; x.attempt == tr.Attempt && x.task == tr.Task {
+			t, at = x, i+1
+			break
+		}
+	}
+	if t == nil {
+		ref, index, err := wire.ParseTask(tr.Task)
+		if err != nil {
+			p.c.emit(Log{Level: LevelError, Text: "worker lists a task with a strange name", Args: []any{"machine", r.name, "task", tr.Task}})
+			return at
+		}
+		t = &placed{task: tr.Task, ref: ref, index: index, attempt: tr.Attempt}
+		if j := p.c.ledger.accepted(ref); j != nil {
+			t.spec = &j.rec.Spec
+		}
+		r.tasks = append(r.tasks, t)
+		p.mark(r)
+	}
+	t.phase, t.stamp = phaseListed, r.stamp
+	if t.state == tr.State && t.why == tr.Why {
+		return at
+	}
+	p.mark(r)
+	p.c.debugf("task", "task", t.task, "machine", r.name, "state", tr.State, "why", tr.Why)
+	if tr.State == wire.TaskRunning && t.since == 0 {
+		t.since = p.c.now.Steady
+		if t.spec != nil {
+			p.gotImage(r, t.spec)
+		}
+	}
+	if tr.State == wire.TaskExited && t.state != wire.TaskExited {
+		t.ended = p.c.now.Steady
+		if t.since > 0 {
+			t.ranS = (p.c.now.Steady - t.since).Seconds()
+		}
+		switch tr.Why {
+		case wire.WhyError, wire.WhyNoRoom, wire.WhyUnknown:
+			r.avoid[t.ref] = p.c.now.Steady + 4*p.c.times.lease
+			p.c.info("task failed", "task", t.task, "machine", r.name, "why", tr.Why)
+		}
+	}
+	t.state, t.why, t.told = tr.State, tr.Why, false
+	return at
+}
+
+// gotImage notes that a machine has, or is about to fetch, a task's image.
+func (p *part) gotImage(r *rig, j *wire.Job) {
+	cache := 0.0
+	if r.mt != nil {
+		cache = r.mt.CacheGB
+	}
+	if r.images.use(j.Image, j.ImageGB, cache) {
+		r.repaint = true
+		p.mark(r)
+	}
+}
--- /dev/null
+++ b/internal/core/zones.go
@@ -0,0 +1,51 @@
+package core
+
+// lost reports whether a machine is neither heard nor able to do work.
+func (f *fleet) lost(v *rigView) bool { return v.state.Silent || v.state.Sure && !v.state.Up }
+
+// cutOff reports whether most of a zone went silent a short while ago: then it is
+// the network that fails, and machines hired instead would boot for longer than
+// most cuts last.
+func (f *fleet) cutOff(zone string) bool {
+	since, ok := f.cuts[zone]
+	return ok && f.c.now.Steady-since < 4*f.c.times.lease
+}
+
+// watchZones follows which zones are cut off.
+func (f *fleet) watchZones() {
+	lost, all := map[string]int{}, map[string]int{}
+	f.heard, f.known = map[string]int{}, map[string]int{}
+	for _, v := range f.c.orch.rigs.all() {
+		f.known[v.state.Zone]++
+		if v.state.Sure && v.state.Up && !v.state.Silent {
+			f.heard[v.state.Zone]++
+		}
+		if v.state.Type == "" || v.upAt < 0 {
+			continue
+		}
+		all[v.state.Zone]++
+		if f.lost(v) {
+			lost[v.state.Zone]++
+		}
+	}
+	for zone, n := range all {
+		_, was := f.cuts[zone]
+		switch is := n >= 2 && lost[zone]*2 > n; {
+		case is && !was:
+			f.cuts[zone] = f.c.now.Steady
+			f.c.info("most of a zone is silent", "zone", zone, "silent", lost[zone], "machines", n)
+		case was && lost[zone]*4 < n:
+			delete(f.cuts, zone)
+		}
+	}
+}
+
+// seenElsewhere reports whether most of a machine's zone is heard, so that its
+// own silence means that it is dead and not that the network is.
+func (f *fleet) seenElsewhere(v *rigView) bool {
+	seen, all := f.heard[v.state.Zone], f.known[v.state.Zone]-1
+	if v.state.Sure && v.state.Up && !v.state.Silent {
+		seen--
+	}
+	return seen > 0 && seen*2 >= all
+}
