--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -513,7 +513,8 @@
 			}
 			s.After(time.Duration(r.IntN(60))*second, func() {
 				j := s.Users.Submit(spec, 3+r.Float64()*20)
-				if i%6 == 5 {
+				j.Mistaken = i == 7
+				if i%6 == 5 || j.Mistaken {
 					s.After(time.Duration(5+r.IntN(40))*second, func() { s.Users.Abort(j) })
 				}
 			})
@@ -521,7 +522,7 @@
 		for range 6 {
 			at := time.Duration(10+r.IntN(90)) * second
 			n := s.Nodes[r.IntN(3)]
-			switch r.IntN(5) {
+			switch r.IntN(7) {
 			case 0:
 				s.After(at, func() { n.Crash(time.Duration(1+r.IntN(8)) * second) })
 			case 1:
@@ -544,6 +545,17 @@
 						s.After(time.Duration(3+r.IntN(25))*second, func() { k.Hung = false })
 					}
 				})
+			case 5:
+				d := time.Duration(3+r.IntN(40)) * second
+				s.After(at, func() {
+					if n.Alive() {
+						n.StandStill(d)
+					}
+				})
+			case 6:
+				for k := range 200 {
+					s.After(at+time.Duration(k)*50*time.Millisecond, s.Users.PollAny)
+				}
 			}
 		}
 		s.Run(110 * second)
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -104,6 +104,24 @@
 	})
 }
 
+// PollAny asks once about some job that was handed in, or about one that never was.
+func (u *Users) PollAny() {
+	n := u.w.Rand.IntN(u.next + 1)
+	id := fmt.Sprintf("job-%06d", n)
+	j, sent := u.jobs[id], u.w.Now
+	known := j != nil && j.Accepted
+	u.ask(func(id2 core.RequestID) core.Command { return core.Query{ID: id2, Job: id} }, func(r core.Reply) {
+		switch {
+		case r.Status == 200 && j == nil:
+			u.w.broke("invented", "%s is answered 200", id)
+		case r.Status == 200 && known:
+			u.hear(j, r.Body.(wire.JobAnswer), sent)
+		case r.Status == 404 && known:
+			u.w.broke("forgotten", "%s is answered 404", id)
+		}
+	})
+}
+
 // Abort cancels a job, again and again until that is confirmed.
 func (u *Users) Abort(j *Job) {
 	j.aborting = true
