--- a/cmd/chalkhub/main.go
+++ b/cmd/chalkhub/main.go
@@ -114,11 +114,13 @@
 	for _, s := range set.Siblings {
 		siblings[s.Label] = s.Address
 	}
+	server := api.New(e, set.Site.Resources.MaxSockets*3/5)
 	status := func() ([]byte, bool) {
 		s, ok := e.Status(time.Second)
 		if !ok {
 			return nil, false
 		}
+		s.Refused = server.Refused()
 		b, err := json.Marshal(s)
 		return b, err == nil
 	}
@@ -144,7 +146,7 @@
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return e.Run(ctx) })
-	g.Go(func() error { return api.New(e, set.Site.Resources.MaxSockets*3/5).Serve(ctx, users) })
+	g.Go(func() error { return server.Serve(ctx, users) })
 	g.Go(func() error { return links.Serve(ctx, peers) })
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -27,6 +28,47 @@
 	engine  Asker
 	http    *fasthttp.Server
 	timeout time.Duration
+	gates   map[string]*gate // by kind of request
+}
+
+// gate bounds how many requests of one kind are under way at once.
+//
+// Guards against users who ask many times as often as usual: their polls must not
+// keep workers' reports, submissions and cancellations out.
+type gate struct {
+	limit   int64
+	inside  atomic.Int64
+	refused atomic.Int64
+}
+
+// enter reports whether one more request may come in; leave must follow if so.
+func (g *gate) enter() bool {
+	if g.inside.Add(1) > g.limit {
+		g.inside.Add(-1)
+		g.refused.Add(1)
+		return false
+	}
+	return true
+}
+
+func (g *gate) leave() { g.inside.Add(-1) }
+
+// Kinds of request that a server takes.
+const (
+	kindReport = "report"
+	kindSubmit = "submit"
+	kindQuery  = "query"
+	kindAbort  = "abort"
+)
+
+// Refused tells how many requests of each kind found too many of it under way, or
+// the queue full.
+func (s *Server) Refused() map[string]int64 {
+	out := map[string]int64{}
+	for kind, g := range s.gates {
+		out[kind] = g.refused.Load()
+	}
+	return out
 }
 
 // patience is how long a user's request may take: below the 2 s that a poll
@@ -35,7 +77,11 @@
 
 // New makes a server that holds at most conns connections.
 func New(engine Asker, conns int) *Server {
-	s := &Server{engine: engine, timeout: patience}
+	s := &Server{engine: engine, timeout: patience, gates: map[string]*gate{}}
+	// A quarter for each kind of user's request; reports may fill the rest.
+	for kind, limit := range map[string]int{kindReport: conns, kindSubmit: conns / 4, kindQuery: conns / 4, kindAbort: conns / 4} {
+		s.gates[kind] = &gate{limit: int64(max(limit, 1))}
+	}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
 		ErrorHandler:          broken,
@@ -96,7 +142,7 @@
 			write(ctx, 400, wire.ErrorAnswer{Error: err.Error()}, 0)
 			return
 		}
-		s.ask(ctx, func(id core.RequestID) core.Command { return core.Submit{ID: id, Job: job} })
+		s.ask(ctx, kindSubmit, func(id core.RequestID) core.Command { return core.Submit{ID: id, Job: job} })
 	case path == "/ready" && ctx.IsGet():
 		if s.engine.Ready() {
 			ctx.SetStatusCode(200)
@@ -107,9 +153,9 @@
 		ref, verb, _ := strings.Cut(path[len(runsPath)+1:], "/")
 		switch {
 		case verb == "" && ctx.IsGet():
-			s.ask(ctx, func(id core.RequestID) core.Command { return core.Query{ID: id, Job: ref} })
+			s.ask(ctx, kindQuery, func(id core.RequestID) core.Command { return core.Query{ID: id, Job: ref} })
 		case verb == "abort" && ctx.IsPost():
-			s.ask(ctx, func(id core.RequestID) core.Command { return core.Abort{ID: id, Job: ref} })
+			s.ask(ctx, kindAbort, func(id core.RequestID) core.Command { return core.Abort{ID: id, Job: ref} })
 		default:
 			write(ctx, 404, wire.ErrorAnswer{Error: "no such page"}, 0)
 		}
@@ -124,15 +170,22 @@
 		write(ctx, 400, wire.ErrorAnswer{Error: "malformed report"}, 0)
 		return
 	}
-	s.ask(ctx, func(id core.RequestID) core.Command { return core.WorkerReport{ID: id, Report: rep} })
+	s.ask(ctx, kindReport, func(id core.RequestID) core.Command { return core.WorkerReport{ID: id, Report: rep} })
 	if ctx.Response.StatusCode() == 421 {
 		ctx.SetConnectionClose()
 	}
 }
 
-func (s *Server) ask(ctx *fasthttp.RequestCtx, build func(core.RequestID) core.Command) {
+func (s *Server) ask(ctx *fasthttp.RequestCtx, kind string, build func(core.RequestID) core.Command) {
+	g := s.gates[kind]
+	if !g.enter() {
+		write(ctx, 503, wire.ErrorAnswer{Error: "too many requests of this kind"}, time.Second)
+		return
+	}
+	defer g.leave()
 	r, ok := s.engine.Ask(build, s.timeout)
 	if !ok {
+		g.refused.Add(1)
 		write(ctx, 503, wire.ErrorAnswer{Error: "busy"}, time.Second)
 		return
 	}
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -85,3 +85,36 @@
 		t.Errorf("ready: %d", status)
 	}
 }
+
+// However many polls are under way, a report and a submission still come in, and the
+// polls that find no room are answered at once.
+func TestPollsDoNotKeepReportsOut(t *testing.T) {
+	held := make(chan struct{})
+	started := make(chan struct{}, 100)
+	e := &scripted{reply: func(c core.Command) (core.Reply, bool) {
+		if _, ok := c.(core.Query); ok {
+			started <- struct{}{}
+			<-held
+		}
+		return core.Reply{Status: 200, Body: wire.ReportAnswer{}}, true
+	}}
+	c := serve(t, e)
+	for range 25 { // a quarter of the connections that serve allows
+		go func() {
+			var req fasthttp.Request
+			var resp fasthttp.Response
+			req.SetRequestURI("http://x/v2/runs/job-1")
+			_ = c.Do(&req, &resp) // ends with the story
+		}()
+	}
+	for range 25 {
+		<-started
+	}
+	if status, retry := do(t, c, "GET", "/v2/runs/job-2", nil); status != 503 || retry != "1" {
+		t.Errorf("a poll too many: %d, Retry-After %q", status, retry)
+	}
+	if status, _ := do(t, c, "POST", "/v1/report", wire.Encode(wire.Report{Machine: "n-1"})); status != 200 {
+		t.Errorf("a report: %d", status)
+	}
+	close(held)
+}
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -26,9 +26,12 @@
 
 	ledSince time.Duration // since when the leader key is ours
 	leading  bool
+	away     map[string]time.Duration // controllers outside the map, since when
 }
 
-func newMembership(c *Core) *membership { return &membership{c: c, target: "\x00"} }
+func newMembership(c *Core) *membership {
+	return &membership{c: c, target: "\x00", away: map[string]time.Duration{}}
+}
 
 // entitled reports whether this node may answer workers and users act on it:
 // its lease was renewed and its mirror confirmed within fresh.
@@ -99,6 +102,7 @@
 	if m.leading != was {
 		if m.leading {
 			m.ledSince = c.now.Steady
+			clear(m.away)
 			c.info("this node leads", "revision", c.ledger.versions[keyLeader])
 		} else {
 			c.info("this node no longer leads")
@@ -122,10 +126,35 @@
 		return
 	}
 	if m.leading {
+		m.watchNodes()
 		m.keepMap()
 	}
 }
 
+// watchNodes notes which controllers are outside the map, for those on call.
+func (m *membership) watchNodes() {
+	rec := m.c.ledger.mapRec
+	if rec == nil {
+		return
+	}
+	labels := []string{m.c.set.Label}
+	for _, s := range m.c.set.Siblings {
+		labels = append(labels, s.Label)
+	}
+	for _, label := range labels {
+		_, in := rec.Members[label]
+		since, was := m.away[label]
+		switch {
+		case !in && !was:
+			m.away[label] = m.c.now.Steady
+			m.c.info("a controller is outside the map", "controller", label)
+		case in && was:
+			delete(m.away, label)
+			m.c.info("a controller is back in the map", "controller", label, "away", m.c.now.Steady-since)
+		}
+	}
+}
+
 func (m *membership) write(guards []wire.Guard, op wire.Op) {
 	m.writing = true
 	m.c.ledger.commit(guards, []wire.Op{op}, func(d CommitDone) {
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"fmt"
+
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/chalkhub/chalkhub/internal/wire"
@@ -22,6 +24,15 @@
 	Means    map[string]float64 `json:"estimates,omitempty"`
 	Waits    map[string]Spread  `json:"task_waits_ms,omitempty"`
 	Answers  Spread             `json:"answers_ms"` // of this node, filled in by the engine
+	Refused  map[string]int64   `json:"refused_requests,omitempty"`
+
+	// Only on the leader.
+	Away   map[string]float64 `json:"nodes_away_s,omitempty"`     // controllers outside the map, for how long
+	Faulty map[string]string  `json:"faulty_jobs,omitempty"`      // jobs that seem to fail wherever they run
+	Sick   map[string]string  `json:"faulty_machines,omitempty"`  // machines in quarantine
+	Unseen int                `json:"machines_unseen,omitempty"`  // that a take-over still waits for
+	Silent map[string]float64 `json:"silent_zones_s,omitempty"`   // zones most of which is silent, for how long
+	Leaves []string           `json:"machines_leaving,omitempty"` // being drained and returned
 }
 
 // Spread is what a histogram holds, in short.
@@ -93,9 +104,39 @@
 		for id, q := range c.orch.queue.all() {
 			s.Queue = append(s.Queue, Waiting{Job: id, Waiting: max(q.waiting(), 0), Flying: len(q.flights), Reason: q.reason})
 		}
+		c.troubles(s)
 	}
 	return s
 }
 
+// troubles tells what somebody on call looks for first.
+func (c *Core) troubles(s *Status) {
+	s.Away, s.Faulty, s.Sick, s.Silent = map[string]float64{}, map[string]string{}, map[string]string{}, map[string]float64{}
+	for label, since := range c.members.away {
+		s.Away[label] = (c.now.Steady - since).Seconds()
+	}
+	for id, q := range c.orch.queue.all() {
+		if c.orch.suspect(q) {
+			s.Faulty[id] = c.orch.failedWhere(q)
+		}
+	}
+	for name, v := range c.orch.rigs.all() {
+		if v.sick {
+			s.Sick[name] = fmt.Sprintf("tasks of %d jobs failed here", len(v.errors))
+		}
+	}
+	for range c.orch.unseen() {
+		s.Unseen++
+	}
+	for zone, since := range c.fleet.cuts {
+		s.Silent[zone] = (c.now.Steady - since).Seconds()
+	}
+	for name, h := range c.fleet.holds.all() {
+		if h.leaving != "" {
+			s.Leaves = append(s.Leaves, name)
+		}
+	}
+}
+
 // Leads reports whether this node leads.
 func (c *Core) Leads() bool { return c.members.leading }
