Ordinary machines are hired only for work that has four of their boots left

Cause: a third to two fifths of the money went to ordinary machines, three to four times as dear, that were hired in the first ten seconds and at 100 s for work that the cheap machines then had done by the time they came up. Ruled out: that the aims need them.

--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -38,7 +38,7 @@
 		IdleBoots:           0.5,
 		HorizonShare:        0.15,
 		SoonBoots:           1,
-		RushBoots:           1.5,
+		RushBoots:           4,
 		PreemptReports:      4,
 		PreemptForGuarantee: false,
 		BootPatience:        3,
