Room for a large task is made on one machine, and kept for it while it is made

Ruled out: the limit of two report periods of loss, since what is stopped saves.

Victims are now gathered machine by machine, and guests get nothing on a machine on which tasks are being stopped.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -25,13 +25,18 @@
 	part *partView
 	view *rigView
 	warm bool // holds the image of the job that is looked at
+	made bool // tasks are being stopped here for somebody else
 }
 
 func (o *orchestrator) plan() *plan {
 	guessed := map[string][]*flight{}
+	made := map[string]bool{}
 	for _, f := range o.tasks {
-		if f.open {
+		switch {
+		case f.open:
 			guessed[f.guess] = append(guessed[f.guess], f)
+		case f.asked:
+			made[f.machine] = true
 		}
 	}
 	out := &plan{use: o.use()}
@@ -42,7 +47,7 @@
 			p == nil || p.session == 0 || p.synced != o.epoch || o.c.fleet.leaving(name) || o.c.fleet.parked[name] {
 			continue
 		}
-		m := &planned{name: name, part: p, view: v, room: room{
+		m := &planned{name: name, part: p, view: v, made: made[name], room: room{
 			cpus: v.mt.CPUs - v.taken.cpus, gpus: v.mt.GPUs - v.taken.gpus, mem: v.mt.MemoryGB - v.taken.mem, typ: s.Type, zone: s.Zone, spot: s.Spot, images: v.images,
 		}}
 		for _, f := range guessed[name] {
@@ -141,7 +146,9 @@
 			continue
 		}
 		free = append(free, m)
-		if m.fits(s) && mayUse(s, m.typ, m.zone, m.spot) {
+		// A guest's next task would take, bit by bit, the room that its last ones
+		// are being stopped for.
+		if m.fits(s) && mayUse(s, m.typ, m.zone, m.spot) && !(m.made && o.c.guests[s.Team]) {
 			m.warm = m.has(s.Image)
 			out = append(out, m)
 			room[m.part] += m.cpus
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -32,28 +32,62 @@
 		p.looked = true
 		o.findVictims(p)
 	}
-	need := float64(q.waiting()) * s.CPUs
-	fits := func(v *victim) bool {
+	need := q.waiting()
+	rooms := map[*planned]*making{}
+	usable := func(v *victim) bool {
 		return mayUse(s, v.m.typ, v.m.zone, v.m.spot) && o.yields(v.f.job, q)
 	}
+	room := func(v *victim) *making {
+		if rooms[v.m] == nil {
+			rooms[v.m] = &making{room: v.m.room}
+		}
+		return rooms[v.m]
+	}
 	// What was asked for already is room on its way, whoever it was asked for:
 	// counting it for one job alone stopped far more than was needed.
 	for i := range p.victims {
-		if v := &p.victims[i]; v.f.asked && fits(v) {
-			need -= v.f.job.j.rec.Spec.CPUs
+		if v := &p.victims[i]; v.f.asked && usable(v) {
+			r := room(v)
+			r.give(&v.f.job.j.rec.Spec)
+			for r.fits(s) && need > 0 {
+				r.take(s)
+				need--
+			}
 		}
 	}
+	// Room counts machine by machine: the four smallest losses on four machines
+	// made no room for a task of four CPUs, and thousands were stopped in vain.
+	var found []*making
 	for i := range p.victims {
-		if need <= slack {
-			return
+		v := &p.victims[i]
+		if v.f.asked || !usable(v) {
+			continue
+		}
+		r := room(v)
+		r.give(&v.f.job.j.rec.Spec)
+		r.stop = append(r.stop, v)
+		r.loss += v.loss
+		if r.fits(s) {
+			found = append(found, &making{stop: r.stop, loss: r.loss})
+			r.take(s)
+			r.stop, r.loss = nil, 0
 		}
-		if v := &p.victims[i]; !v.f.asked && fits(v) {
-			need -= v.f.job.j.rec.Spec.CPUs
+	}
+	slices.SortStableFunc(found, func(a, b *making) int { return cmp.Compare(a.loss, b.loss) })
+	for _, r := range found[:min(max(need, 0), len(found))] {
+		for _, v := range r.stop {
 			o.stop(v, q)
 		}
 	}
 }
 
+// making is a machine on which room for one more task is being made.
+type making struct {
+	room
+	stop []*victim
+	loss float64
+}
+
 // findVictims lists what may be stopped in this round.
 func (o *orchestrator) findVictims(p *plan) {
 	for _, m := range p.rooms {
--- a/internal/core/room.go
+++ b/internal/core/room.go
@@ -24,6 +24,8 @@
 
 func (r *room) take(j *wire.Job) { r.cpus -= j.CPUs; r.gpus -= j.GPUs; r.mem -= j.MemoryGB }
 
+func (r *room) give(j *wire.Job) { r.cpus += j.CPUs; r.gpus += j.GPUs; r.mem += j.MemoryGB }
+
 func (r *room) has(image string) bool { return r.images[image] }
 
 // images is what a machine's cache should hold: it keeps those that were used
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -795,6 +795,28 @@
 	s.within(40*second, "the guest goes on", func() bool { return g.Running() >= 14 })
 }
 
+// Room is made machine by machine: as many small tasks are stopped as a large one
+// needs on its machine, and the guest does not take the room while it is being made.
+func TestRoomIsMadeForLargeTasks(t *testing.T) {
+	s := begin(t, 39)
+	s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = 0, 0
+	for range 8 {
+		s.Cloud.Add("box", "a", true)
+	}
+	one, other := fake.Array(8), fake.Array(8) // a task of each on every machine
+	one.Team, one.CheckpointS, one.SaveS, one.CPUs, one.MemoryGB = "guest", 4, 3, 2, 12
+	other.Team, other.CheckpointS, other.SaveS, other.CPUs = "guest", 4, 3, 2
+	a, b := s.Users.Submit(one, 300), s.Users.Submit(other, 300)
+	s.within(30*second, "the guest fills the machines", func() bool { return a.Running()+b.Running() >= 14 })
+	own := fake.Array(2)
+	own.CPUs = 4
+	j := s.Users.Submit(own, 30)
+	s.within(6*second, "the large tasks run", func() bool { return j.Running() == 2 })
+	if n := a.Running() + b.Running(); n < 10 {
+		t.Fatalf("only %d of 16 small tasks are left", n)
+	}
+}
+
 // Long tasks of a guest must not take, in a quiet moment, all that the others' work
 // needs as it comes in; nor does the guest starve.
 func TestGuestsLeaveRoomForWhatComesIn(t *testing.T) {
