One large task that is stopped makes room for several small ones

Cause: since room is made machine by machine, each victim counted for one task, so sixteen urgent tasks of one CPU stopped twelve reports of four CPUs where four do.

A victim now counts for as many tasks as then fit, and room is chosen by loss per task.

--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -47,12 +47,7 @@
 	// counting it for one job alone stopped far more than was needed.
 	for i := range p.victims {
 		if v := &p.victims[i]; v.f.asked && usable(v) {
-			r := room(v)
-			r.give(&v.f.job.j.rec.Spec)
-			for r.fits(s) && need > 0 {
-				r.take(s)
-				need--
-			}
+			need -= room(v).gain(&v.f.job.j.rec.Spec, s)
 		}
 	}
 	// Room counts machine by machine: the four smallest losses on four machines
@@ -64,28 +59,42 @@
 			continue
 		}
 		r := room(v)
-		r.give(&v.f.job.j.rec.Spec)
 		r.stop = append(r.stop, v)
 		r.loss += v.loss
-		if r.fits(s) {
-			found = append(found, &making{stop: r.stop, loss: r.loss})
-			r.take(s)
+		if n := r.gain(&v.f.job.j.rec.Spec, s); n > 0 {
+			found = append(found, &making{stop: r.stop, loss: r.loss, tasks: n})
 			r.stop, r.loss = nil, 0
 		}
 	}
-	slices.SortStableFunc(found, func(a, b *making) int { return cmp.Compare(a.loss, b.loss) })
-	for _, r := range found[:min(max(need, 0), len(found))] {
+	slices.SortStableFunc(found, func(a, b *making) int {
+		return cmp.Compare(a.loss/float64(a.tasks), b.loss/float64(b.tasks))
+	})
+	for _, r := range found {
+		if need <= 0 {
+			return
+		}
+		need -= r.tasks
 		for _, v := range r.stop {
 			o.stop(v, q)
 		}
 	}
 }
 
-// making is a machine on which room for one more task is being made.
+// making is room that is made on a machine: whose tasks are to be stopped, and for
+// how many others that makes room.
 type making struct {
 	room
-	stop []*victim
-	loss float64
+	stop  []*victim
+	loss  float64
+	tasks int
+}
+
+// gain adds the room of a task that is stopped and says how many more of s now fit.
+func (m *making) gain(stopped, s *wire.Job) (n int) {
+	for m.give(stopped); m.fits(s); n++ {
+		m.take(s)
+	}
+	return n
 }
 
 // findVictims lists what may be stopped in this round.
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -817,6 +817,27 @@
 	}
 }
 
+// Stopping one large task makes room for several small ones: no more are stopped than
+// that.
+func TestOneLargeTaskMakesRoomForSeveral(t *testing.T) {
+	s := begin(t, 40)
+	s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = 0, 0
+	for range 4 {
+		s.Cloud.Add("barn", "a", true)
+	}
+	low := fake.Array(16)
+	low.Urgency, low.CPUs, low.CheckpointS, low.SaveS = wire.UrgencyLow, 4, 4, 2
+	l := s.Users.Submit(low, 300)
+	s.within(60*second, "the reports fill the machines", func() bool { return l.Running() == 16 })
+	high := fake.Array(16)
+	high.Urgency = wire.UrgencyHigh
+	h := s.Users.Submit(high, 20)
+	s.within(10*second, "the urgent tasks run", func() bool { return h.Running() == 16 })
+	if n := l.Running(); n < 11 {
+		t.Fatalf("%d of 16 reports are left, four had to go", n)
+	}
+}
+
 // Long tasks of a guest must not take, in a quiet moment, all that the others' work
 // needs as it comes in; nor does the guest starve.
 func TestGuestsLeaveRoomForWhatComesIn(t *testing.T) {
