--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"github.com/chalkhub/chalkhub/internal/core"
 	"github.com/chalkhub/chalkhub/internal/fake"
 )
 
@@ -94,3 +95,19 @@
 		t.Fatalf("%d machines were given up", n)
 	}
 }
+
+// BenchmarkPoll is a poll of a job that is not over, as the core sees it: many share
+// one read of the state service.
+func BenchmarkPoll(b *testing.B) {
+	s := begin(b, 1)
+	j := s.Users.Submit(fake.Array(4), 1e6)
+	s.within(30*second, "the job is accepted", func() bool { return j.Accepted })
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		s.Nodes[0].Ask(func(id core.RequestID) core.Command { return core.Query{ID: id, Job: j.Spec.ID} }, func(core.Reply) {})
+		if i%50 == 0 {
+			s.Run(s.Now + second/10)
+		}
+	}
+}
