A suspect job stops others' tasks for its canary only

Cause: an urgent job that fails everywhere sends one task at a time, but room was made for all that it has waiting: in a story 60 of 64 reports were stopped for it. Found by reading the change again. TestSuspectJobStopsLittle fails without.

--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -33,6 +33,9 @@
 		o.findVictims(p)
 	}
 	need := q.waiting()
+	if o.suspect(q) {
+		need = 1 // the rest of it would only fail
+	}
 	rooms := map[*planned]*making{}
 	usable := func(v *victim) bool {
 		return mayUse(s, v.m.typ, v.m.zone, v.m.spot) && o.yields(v.f.job, q)
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -838,6 +838,33 @@
 	}
 }
 
+// An urgent job that fails everywhere stops others' tasks for one task of its own, not
+// for all of them.
+func TestSuspectJobStopsLittle(t *testing.T) {
+	s := begin(t, 41)
+	s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = 0, 0
+	for range 4 {
+		s.Cloud.Add("barn", "a", true)
+	}
+	bad := fake.Array(60)
+	bad.Urgency = wire.UrgencyHigh
+	h := s.Users.Submit(bad, 10)
+	h.Mistaken = true
+	s.within(60*second, "it is known to fail", func() bool { return strings.Contains(h.Answer.Reason, "one is tried again at") })
+	low := fake.Array(80)
+	low.Urgency, low.CheckpointS, low.SaveS = wire.UrgencyLow, 4, 2
+	l := s.Users.Submit(low, 600)
+	s.within(30*second, "the reports fill the machines", func() bool { return l.Running() >= 62 })
+	least := 64
+	for range 100 {
+		s.Run(s.Now + second)
+		least = min(least, l.Running())
+	}
+	if least < 58 {
+		t.Fatalf("%d of 64 reports were left", least)
+	}
+}
+
 // Long tasks of a guest must not take, in a quiet moment, all that the others' work
 // needs as it comes in; nor does the guest starve.
 func TestGuestsLeaveRoomForWhatComesIn(t *testing.T) {
