--- a/internal/core/fence.go
+++ b/internal/core/fence.go
@@ -6,7 +6,12 @@
 func (p *part) tend(r *rig) {
 	c := p.c
 	if r.registered && c.ledger.machines.get(r.name) == nil {
-		p.forget(r) // deleted: it and its tasks are gone
+		// Deleted: it and its tasks are gone. What the leader has not been told of
+		// yet it would wait for for ever: seed 51759.
+		for _, t := range r.tasks {
+			p.giveBack(t)
+		}
+		p.forget(r)
 		return
 	}
 	if !r.registered && c.now.Steady-r.heard > c.times.gone {
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -488,9 +488,10 @@
 // the day on which the old list of a dead machine hid where a task really ran, and
 // 2267 the one on which a machine deleted by an earlier leader held two back. On
 // 354 progress that was applied late took back a completed task; on 1280 a machine
-// that was heard by /do alone was taken for empty.
+// that was heard by /do alone was taken for empty. On 51759 a machine was deleted
+// between a dispatch and the word of where it went, and the leader waited for ever.
 func TestTroublesOverlap(t *testing.T) {
-	days := []uint64{2267, 354, 1280}
+	days := []uint64{2267, 354, 1280, 51759}
 	for seed := range *seeds {
 		days = append(days, *firstSeed+seed)
 	}
