--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -31,7 +31,7 @@
 // BenchmarkSecond is a second of a busy deployment: reports, rounds and all.
 // The growth between the sizes is what counts.
 func BenchmarkSecond(b *testing.B) {
-	for _, n := range []int{100, 300, 1000} {
+	for _, n := range []int{1000, 3000, 10000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			s := grown(b, 1, n)
 			b.ReportAllocs()
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -83,6 +84,11 @@
 	})
 }
 
+// said reports whether a node has logged a line that holds this.
+func (s *story) said(what string) bool {
+	return slices.ContainsFunc(s.Logs, func(l string) bool { return strings.Contains(l, what) })
+}
+
 func (s *story) leader() *fake.Node {
 	for _, n := range s.Nodes {
 		if n.Alive() && n.Core.Leads() {
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"fmt"
 	"sort"
 	"strings"
 	"time"
@@ -264,3 +265,18 @@
 		}
 	}
 }
+
+// Ended puts n jobs into the store that were done or cancelled long ago.
+func (s *State) Ended(n int) {
+	s.rev++
+	for i := range n {
+		id := fmt.Sprintf("job-9%08d", i)
+		spec := Array(1 + i%40)
+		spec.ID = id
+		rec := wire.JobRecord{Spec: spec, State: wire.JobDone, At: 9e8 + float64(i)}
+		if i%50 == 0 {
+			rec.State, rec.Bad = wire.JobCancelled, "cancelled by its user"
+		}
+		s.keys["c/job/"+id] = &entry{value: wire.Encode(rec), rev: s.rev}
+	}
+}
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -12,9 +12,11 @@
 // Users submit, poll and cancel, and keep the rules' checker: whatever happens
 // on a machine or is told to a user passes through here.
 type Users struct {
-	w    *World
-	jobs map[string]*Job
-	next int
+	w       *World
+	jobs    map[string]*Job
+	next    int
+	running int                // tasks that are on machines
+	cpus    map[string]float64 // that they take, by team
 }
 
 // Job is a job as its user sees it.
@@ -33,7 +35,9 @@
 	on        map[string]string // task -> machine
 }
 
-func newUsers(w *World) *Users { return &Users{w: w, jobs: map[string]*Job{}} }
+func newUsers(w *World) *Users {
+	return &Users{w: w, jobs: map[string]*Job{}, cpus: map[string]float64{}}
+}
 
 // Array describes an array job of n tasks with one CPU each, for team blue.
 func Array(n int) wire.Job {
@@ -172,6 +176,9 @@
 	if j.Cancelled > 0 && u.w.Now > j.Cancelled+config.Seconds(u.w.Set.Site.Workers.CancelS) {
 		u.w.broke("ran_cancelled", "%s starts", t.Name)
 	}
+	if _, ok := j.on[t.Name]; !ok {
+		u.count(j, 1)
+	}
 	j.on[t.Name] = k.Info.Name
 	u.checkPlace(k, t)
 	u.checkQuota(j.Spec.Team)
@@ -180,9 +187,15 @@
 func (u *Users) left(k *Worker, t *Task) {
 	if t.job != nil && t.on() && t.job.on[t.Name] == k.Info.Name {
 		delete(t.job.on, t.Name)
+		u.count(t.job, -1)
 	}
 }
 
+func (u *Users) count(j *Job, n int) {
+	u.running += n
+	u.cpus[j.Spec.Team] += float64(n) * j.Spec.CPUs
+}
+
 func (u *Users) checkPlace(k *Worker, t *Task) {
 	s := &t.job.Spec
 	bad := s.Zone != "" && s.Zone != k.Info.Zone || k.Info.Spot && !s.Spot
@@ -194,9 +207,11 @@
 		bad = bad || !ok
 	}
 	zones := map[string]int{}
-	for _, m := range t.job.on {
-		if w := u.w.Workers[m]; w != nil {
-			zones[w.Info.Zone]++
+	if s.OneZone || s.Spread {
+		for _, m := range t.job.on {
+			if w := u.w.Workers[m]; w != nil {
+				zones[w.Info.Zone]++
+			}
 		}
 	}
 	bad = bad || s.OneZone && len(zones) > 1 || s.Spread && zones[k.Info.Zone] > (s.Tasks+1)/2
@@ -206,12 +221,7 @@
 }
 
 func (u *Users) checkQuota(team string) {
-	var cpus float64
-	for _, j := range u.jobs {
-		if j.Spec.Team == team {
-			cpus += j.Spec.CPUs * float64(len(j.on))
-		}
-	}
+	cpus := u.cpus[team]
 	for _, t := range u.w.Set.Site.Teams {
 		if t.Name == team && t.CPUsMax > 0 && cpus > t.CPUsMax+1e-6 {
 			u.w.broke("quota", "team %s uses %g of %g CPUs", team, cpus, t.CPUsMax)
@@ -283,10 +293,4 @@
 func (j *Job) Running() int { return len(j.on) }
 
 // Running is how many tasks of all jobs are on machines.
-func (u *Users) Running() int {
-	n := 0
-	for _, j := range u.jobs {
-		n += len(j.on)
-	}
-	return n
-}
+func (u *Users) Running() int { return u.running }
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -37,6 +37,9 @@
 	Debug bool // keep debug lines too, from the next start of a node on
 	// Logs keeps the nodes' log lines, for a story that asks for them.
 	Logs []string
+	// Applied is told what each batch of commands took of a node, in real time, if
+	// it is set.
+	Applied func(n *Node, cmds []core.Command, took time.Duration)
 
 	cuts   map[string]bool
 	held   map[string][]func() // packets kept by a cut
@@ -345,7 +348,11 @@
 	cmds := n.queue
 	n.queue = nil
 	now := core.Now{Steady: n.clock(), Wall: 1e9 + n.w.Now.Seconds()}
+	begin := time.Now()
 	effects := append([]core.Effect(nil), n.Core.Apply(now, cmds)...)
+	if n.w.Applied != nil {
+		n.w.Applied(n, cmds, time.Since(begin))
+	}
 	if n.still {
 		n.tongue = effects // decided, and not done before it wakes
 		return
