A take-over no longer looks at every machine for every answer

Cause: each answer to an empty /do had all clocks looked at, and each word of a part had all unseen machines gathered: the square of the fleet.

--- a/internal/core/fence.go
+++ b/internal/core/fence.go
@@ -49,8 +49,32 @@
 	// of them took the processor for seconds in which their reports, which do as
 	// well, were not answered.
 	due := r.trusted && c.now.Steady-r.heard > 2*c.times.report || !r.trusted && r.addr != "" && !r.lapsed
-	if due && r.asking == 0 && c.now.Steady >= r.askAgain && len(p.fences) < max(p.rigs.len()/askShare, askLeast) {
+	switch {
+	case !due || r.asking != 0 || c.now.Steady < r.askAgain:
+	case p.mayAsk():
 		p.do(r, nil)
+	case !r.waits:
+		r.waits = true
+		p.toAsk = append(p.toAsk, r)
+	}
+}
+
+// mayAsk reports whether one more machine may be asked by /do without commands.
+func (p *part) mayAsk() bool { return len(p.fences) < max(p.rigs.len()/askShare, askLeast) }
+
+// askNext asks the machines that had to wait, as one has answered.
+//
+// Guards against a second for each round of asking, which a wait for the regular look
+// at the clocks would take, and against looking at every machine for every answer: at
+// ten thousand machines that took a third of a take-over.
+func (p *part) askNext() {
+	for len(p.toAsk) > 0 && p.mayAsk() {
+		r := p.toAsk[0]
+		p.toAsk = p.toAsk[1:]
+		r.waits = false
+		if p.rigs.get(r.name) == r {
+			p.tend(r)
+		}
 	}
 }
 
@@ -73,10 +97,8 @@
 
 func (p *part) didDo(d *DoDone) {
 	if p.fences[d.ID] {
-		// The next machine is asked at once: left to the regular look at the
-		// clocks, a part of a hundred machines took five seconds to fence them.
 		delete(p.fences, d.ID)
-		p.tendAt = 0
+		defer p.askNext()
 	}
 	r := p.rigs.get(d.Machine)
 	if r == nil || r.asking != d.ID {
--- a/internal/core/fitness.go
+++ b/internal/core/fitness.go
@@ -61,7 +61,7 @@
 // probe asks a few machines, others each time, whether they can be reached.
 func (p *part) probe() {
 	c, f := p.c, &p.fit
-	names := c.ledger.machines.names
+	names := c.ledger.machines.sorted()
 	if c.now.Steady < f.probeAt || len(names) == 0 {
 		return
 	}
--- a/internal/core/flight.go
+++ b/internal/core/flight.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"slices"
 	"time"
 
 	"github.com/chalkhub/chalkhub/internal/wire"
@@ -131,25 +132,45 @@
 func (o *orchestrator) unseen() iter.Seq2[string, *wire.MachineRecord] {
 	return func(yield func(string, *wire.MachineRecord) bool) {
 		for name, rec := range o.c.ledger.machines.all() {
-			if v := o.rigs.get(name); (v == nil || !v.known()) && !o.c.fleet.wasDeleted(name) && !yield(name, rec) {
+			if o.isUnseen(name) && !yield(name, rec) {
 				return
 			}
 		}
 	}
 }
 
+func (o *orchestrator) isUnseen(name string) bool {
+	v := o.rigs.get(name)
+	return (v == nil || !v.known()) && !o.c.fleet.wasDeleted(name)
+}
+
+// anyUnseen reports whether there is such a machine. It looks on from the one it
+// found last: looking at all of them for each word of a part took most of a
+// take-over's processor time, and grew with the square of the fleet.
+func (o *orchestrator) anyUnseen() bool {
+	names := o.c.ledger.machines.sorted()
+	at, _ := slices.BinarySearch(names, o.dark)
+	for n := range names {
+		if name := names[(at+n)%len(names)]; o.isUnseen(name) {
+			o.dark = name
+			return true
+		}
+	}
+	return false
+}
+
 // settle frees what was in doubt once every machine has been seen.
 func (o *orchestrator) settle() {
 	if !o.doubt {
 		return
 	}
-	var missing []string
-	for name := range o.unseen() {
-		missing = append(missing, name)
-	}
-	if len(missing) > 0 {
+	if o.anyUnseen() {
 		if o.c.now.Steady-o.saidAt >= o.c.times.round {
 			o.saidAt = o.c.now.Steady
+			var missing []string
+			for name := range o.unseen() {
+				missing = append(missing, name)
+			}
 			o.c.info("machines not seen yet", "count", len(missing), "among them", missing[:min(len(missing), 5)])
 		}
 		return
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -78,6 +78,7 @@
 	used         map[string]*usage  // by team, what its tasks may be taking
 	unsaved      map[string]*queued // have completed tasks that are not durable
 	doubt        bool               // some job or task is in limbo
+	dark         string             // a machine that was not seen yet when last looked at
 	saidAt       time.Duration      // when the machines that are waited for were last named
 	counter      uint64
 	lastRound    time.Duration
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -35,6 +35,7 @@
 	lastSeq  uint64 // of the leader's messages over the link
 	doID     uint64
 	fences   map[uint64]bool // the empty /do calls under way
+	toAsk    []*rig          // wait for one of these to end
 	fit      fitness
 	since    time.Duration // of this epoch
 }
--- a/internal/core/placed.go
+++ b/internal/core/placed.go
@@ -60,6 +60,7 @@
 	closing      bool   // gets no new tasks for now
 	asking       uint64 // the /do under way
 	askAgain     time.Duration
+	waits        bool // to be asked
 	urgent       bool // send commands without waiting for the next report
 	registered   bool
 	tasks        []*placed
