Rounds, placing and estimates cost less on a large fleet

Cause: the leader made ten thousand plans of machines anew for each round and looked each machine up in six maps; a part looked for room among all its machines for each report; each job's prediction walked over all means; a member gathered all names again whenever a machine came up. Change: flags on the leader's view, a set of open dispatches, a list of machines with room, predictions kept for a round, shapes that found no room not looked for again. A mirror that is read anew begins a new leadership: the queue kept job records of the old one.

--- a/internal/core/closing.go
+++ b/internal/core/closing.go
@@ -37,7 +37,7 @@
 	c := f.c
 	room := 0.0
 	for _, h := range up {
-		if v := c.orch.rigs.get(h.name); !v.closing && !f.parked[h.name] && h.leaving == "" && !v.state.Notice && !v.sick {
+		if v := c.orch.rigs.get(h.name); !v.closing && !v.parked && h.leaving == "" && !v.state.Notice && !v.sick {
 			room += c.types()[h.typ].CPUs - v.taken.cpus
 		}
 	}
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -1,7 +1,10 @@
 package core
 
 import (
+	"cmp"
+	"slices"
 	"sort"
+	"strings"
 
 	"github.com/chalkhub/chalkhub/internal/wire"
 )
@@ -12,10 +15,11 @@
 	rooms   []*planned
 	free    []*planned // those with any room left
 	use     map[string]*usage
-	guests  float64  // CPUs that guests' tasks may be taking,
-	spare   float64  // of so many that they may take
-	victims []victim // what may be stopped, cheapest first
-	looked  bool     // victims have been looked for
+	guests  float64        // CPUs that guests' tasks may be taking,
+	spare   float64        // of so many that they may take
+	none    map[shape]bool // no machine has room for a task like this any more
+	victims []victim       // what may be stopped, cheapest first
+	looked  bool           // victims have been looked for
 }
 
 // planned is a machine in the leader's plan of one round.
@@ -31,27 +35,44 @@
 func (o *orchestrator) plan() *plan {
 	guessed := map[string][]*flight{}
 	made := map[string]bool{}
-	for _, f := range o.tasks {
-		switch {
-		case f.open:
+	for name, f := range o.opens {
+		if f.open {
 			guessed[f.guess] = append(guessed[f.guess], f)
-		case f.asked:
+		} else {
+			delete(o.opens, name)
+		}
+	}
+	for name, f := range o.asks {
+		if o.tasks[name] == f {
 			made[f.machine] = true
+		} else {
+			delete(o.asks, name)
 		}
 	}
-	out := &plan{use: o.use()}
+	out := &plan{use: o.use(), none: map[shape]bool{}}
+	out.rooms = make([]*planned, 0, o.rigs.len())
 	for name, v := range o.rigs.all() {
-		p := o.parts[v.part]
 		s := &v.state
-		if !s.Up || !s.Sure || s.Notice || s.Draining || v.sick || v.mt == nil || o.c.ledger.machines.get(name) == nil ||
-			p == nil || p.session == 0 || p.synced != o.epoch || o.c.fleet.leaving(name) || o.c.fleet.parked[name] {
+		if !s.Up || !s.Sure || s.Notice || s.Draining || v.sick || v.mt == nil || !v.registered || v.leaving || v.parked {
 			continue
 		}
-		m := &planned{name: name, part: p, view: v, made: made[name], room: room{
+		p := o.parts[v.part]
+		if p == nil || p.session == 0 || p.synced != o.epoch {
+			continue
+		}
+		// The machine's own, made anew: ten thousand of them for each round were
+		// most of what the leader allocated.
+		m := &v.plan
+		*m = planned{name: name, part: p, view: v, room: room{
 			cpus: v.mt.CPUs - v.taken.cpus, gpus: v.mt.GPUs - v.taken.gpus, mem: v.mt.MemoryGB - v.taken.mem, typ: s.Type, zone: s.Zone, spot: s.Spot, images: v.images,
 		}}
-		for _, f := range guessed[name] {
-			m.take(&f.job.j.rec.Spec)
+		if len(made) > 0 {
+			m.made = made[name]
+		}
+		if len(guessed) > 0 {
+			for _, f := range guessed[name] {
+				m.take(&f.job.j.rec.Spec)
+			}
 		}
 		out.rooms = append(out.rooms, m)
 		if m.cpus > slack {
@@ -138,6 +159,10 @@
 // fitting lists the machines with room for a task, in the order in which they
 // are filled. What is full by now leaves the plan's free machines.
 func (o *orchestrator) fitting(s *wire.Job, p *plan) []*planned {
+	like := shape{s.CPUs, s.GPUs, s.MemoryGB, s.Zone, s.Spot, o.c.guests[s.Team], strings.Join(s.Types, " ")}
+	if p.none[like] {
+		return nil // within a round room only shrinks
+	}
 	var out []*planned
 	room := map[*partView]float64{}
 	free := p.free[:0]
@@ -155,22 +180,39 @@
 		}
 	}
 	p.free = free
-	sort.SliceStable(out, func(a, b int) bool {
-		x, y := out[a], out[b]
-		if x.warm != y.warm {
-			return x.warm
-		}
-		if x.spot != y.spot {
-			return x.spot
-		}
-		if x.part != y.part && room[x.part] != room[y.part] {
-			return room[x.part] > room[y.part]
+	if len(out) == 0 {
+		p.none[like] = true
+	}
+	slices.SortStableFunc(out, func(x, y *planned) int {
+		switch {
+		case x.warm != y.warm:
+			return first(x.warm)
+		case x.spot != y.spot:
+			return first(x.spot)
+		case x.part != y.part && room[x.part] != room[y.part]:
+			return first(room[x.part] > room[y.part])
 		}
-		return x.tighter(&y.room)
+		return cmp.Or(cmp.Compare(x.cpus, y.cpus), cmp.Compare(x.mem, y.mem))
 	})
 	return out
 }
 
+// shape is what decides which machines a task fits on.
+type shape struct {
+	cpus, gpus, mem float64
+	zone            string
+	spot, guest     bool
+	types           string
+}
+
+// first is what a comparison returns when its left side does, or does not, come first.
+func first(left bool) int {
+	if left {
+		return -1
+	}
+	return 1
+}
+
 // startable says why a job can't be dispatched yet, whatever the room.
 func (o *orchestrator) startable(q *queued, p *plan) bool {
 	s := &q.j.rec.Spec
@@ -207,6 +249,7 @@
 		session: m.part.session, seq: m.part.sent + 1, open: true, claims: map[string]bool{}}
 	name := wire.TaskName(q.id, i)
 	o.debit(name, f)
+	o.opens[name] = f
 	delete(q.hold, i)
 	try := wire.TaskTry{Task: name, Attempt: f.attempt}
 	if hold {
--- a/internal/core/estimator.go
+++ b/internal/core/estimator.go
@@ -1,8 +1,10 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/chalkhub/chalkhub/internal/wire"
@@ -19,68 +21,99 @@
 	m.last = wall
 }
 
+// meanKey is whose durations a running mean is of.
+type meanKey struct {
+	team, class string
+	cpus, gpus  float64
+}
+
+func keyOf(s *wire.Job) meanKey { return meanKey{s.Team, s.Class, s.CPUs, s.GPUs} }
+
+func (k meanKey) String() string { return fmt.Sprintf("%s %s %g %g", k.team, k.class, k.cpus, k.gpus) }
+
+func (k meanKey) compare(b meanKey) int {
+	return cmp.Or(cmp.Compare(k.team, b.team), cmp.Compare(k.class, b.class), cmp.Compare(k.cpus, b.cpus), cmp.Compare(k.gpus, b.gpus))
+}
+
 // estimator predicts a task's duration from completed ones only: a task that
 // failed ran for a time that says nothing.
 type estimator struct {
 	c       *Core
-	names   map[string]*mean // team and class
-	recs    map[string]wire.MeanRecord
+	names   map[meanKey]*mean
+	memo    map[meanKey]float64 // predictions of this round, 0: nothing is known
+	stale   bool                // durations have come since
 	changed bool
 	saving  bool
 	savedAt time.Duration
 }
 
 func newEstimator(c *Core) *estimator {
-	return &estimator{c: c, names: map[string]*mean{}, recs: map[string]wire.MeanRecord{}}
-}
-
-func meanKey(team, class string, cpus, gpus float64) string {
-	return fmt.Sprintf("%s %s %g %g", team, class, cpus, gpus)
+	return &estimator{c: c, names: map[meanKey]*mean{}, memo: map[meanKey]float64{}}
 }
 
 func (e *estimator) load() {
-	e.names = map[string]*mean{}
-	e.recs = map[string]wire.MeanRecord{}
+	clear(e.names)
+	clear(e.memo)
 	e.savedAt = e.c.now.Steady
 	if e.c.ledger.estimate == nil {
 		return
 	}
 	for _, r := range e.c.ledger.estimate.Means {
-		k := meanKey(r.Team, r.Class, r.CPUs, r.GPUs)
-		e.names[k] = &mean{mean: r.Mean, n: r.N, last: r.Last}
-		e.recs[k] = r
+		e.names[meanKey{r.Team, r.Class, r.CPUs, r.GPUs}] = &mean{mean: r.Mean, n: r.N, last: r.Last}
 	}
 }
 
 func (e *estimator) add(s *wire.Job, seconds float64) {
-	k := meanKey(s.Team, s.Class, s.CPUs, s.GPUs)
+	k := keyOf(s)
 	m := e.names[k]
 	if m == nil {
 		m = &mean{}
 		e.names[k] = m
-		e.recs[k] = wire.MeanRecord{Team: s.Team, Class: s.Class, CPUs: s.CPUs, GPUs: s.GPUs}
 	}
 	m.add(seconds, e.c.now.Wall, e.c.policy.HistoryTasks)
-	e.changed = true
+	e.changed, e.stale = true, true
+}
+
+// refresh lets predictions take account of what has come since the last round.
+// Within one they stay as they are: thousands of open jobs share some dozens of names.
+func (e *estimator) refresh() {
+	if e.stale {
+		e.stale = false
+		clear(e.memo)
+	}
 }
 
 // predict gives the mean of the team and class; failing that the team's, then
 // that of all with the same GPU (CPU) demand, then the owner's own estimate.
 func (e *estimator) predict(s *wire.Job) float64 {
+	k := keyOf(s)
+	x, ok := e.memo[k]
+	if !ok {
+		x = e.known(k)
+		e.memo[k] = x
+	}
+	if x > 0 {
+		return x
+	}
+	return max(s.EstimateS, 1)
+}
+
+// known is the prediction from history, 0 if there is none.
+func (e *estimator) known(k meanKey) float64 {
 	var name, team, demand mean
-	for k, m := range e.names {
-		r := e.recs[k]
+	for _, x := range e.sorted() {
+		m := e.names[x]
 		merge := func(into *mean) {
 			into.mean = (into.mean*into.n + m.mean*m.n) / (into.n + m.n)
 			into.n += m.n
 		}
-		if r.Team == s.Team && r.Class == s.Class {
+		if x.team == k.team && x.class == k.class {
 			merge(&name)
 		}
-		if r.Team == s.Team {
+		if x.team == k.team {
 			merge(&team)
 		}
-		if r.GPUs == s.GPUs && (s.GPUs > 0 || r.CPUs == s.CPUs) {
+		if x.gpus == k.gpus && (k.gpus > 0 || x.cpus == k.cpus) {
 			merge(&demand)
 		}
 	}
@@ -89,7 +122,12 @@
 			return m.mean
 		}
 	}
-	return max(s.EstimateS, 1)
+	return 0
+}
+
+// sorted lists whose means there are, so that sums come out the same every time.
+func (e *estimator) sorted() []meanKey {
+	return slices.SortedFunc(maps.Keys(e.names), meanKey.compare)
 }
 
 // save writes the history as one value, the oldest names dropped to fit.
@@ -100,15 +138,19 @@
 	}
 	e.changed, e.saving, e.savedAt = false, true, c.now.Steady
 	var rec wire.EstimateRecord
-	for _, k := range sortedKeys(e.names) {
-		r, m := e.recs[k], e.names[k]
-		r.Mean, r.N, r.Last = m.mean, m.n, m.last
-		rec.Means = append(rec.Means, r)
+	for _, k := range e.sorted() {
+		m := e.names[k]
+		rec.Means = append(rec.Means, wire.MeanRecord{Team: k.team, Class: k.class, CPUs: k.cpus, GPUs: k.gpus, Mean: m.mean, N: m.n, Last: m.last})
 	}
-	sort.SliceStable(rec.Means, func(a, b int) bool { return rec.Means[a].Last > rec.Means[b].Last })
+	slices.SortStableFunc(rec.Means, func(a, b wire.MeanRecord) int { return cmp.Compare(b.Last, a.Last) })
 	limit := int(c.set.Site.State.ValueKB * 1024 * 3 / 4)
 	for size := jsonSize(&rec); size > limit && len(rec.Means) > 0; size = jsonSize(&rec) {
-		rec.Means = rec.Means[:len(rec.Means)*limit/(size+1)]
+		keep := len(rec.Means) * limit / (size + 1)
+		// Here too, or names that never come back would pile up.
+		for _, r := range rec.Means[keep:] {
+			delete(e.names, meanKey{r.Team, r.Class, r.CPUs, r.GPUs})
+		}
+		rec.Means = rec.Means[:keep]
 	}
 	c.ledger.commit([]wire.Guard{c.members.leaderGuard()}, []wire.Op{{Put: keyEstimate, Value: rec}}, func(d CommitDone) {
 		e.saving = false
--- a/internal/core/fitness.go
+++ b/internal/core/fitness.go
@@ -12,6 +12,7 @@
 	probeAt time.Duration
 	probed  int           // how many machines were asked
 	reached time.Duration // when one last answered
+	heard   *rig          // one that was heard when last looked at
 }
 
 // probes is how many machines are asked at once whether they can be reached.
@@ -34,6 +35,10 @@
 	if !p.mine || c.now.Steady-p.since < c.times.lease/3 {
 		return
 	}
+	if r := f.heard; r != nil && r.trusted && p.rigs.get(r.name) == r && c.now.Steady-r.heard < c.times.lease/3 {
+		f.times = 0
+		return
+	}
 	n := 0
 	for _, r := range p.rigs.all() {
 		if !r.registered {
@@ -44,6 +49,7 @@
 			if r.trusted {
 				f.times = 0
 			}
+			f.heard = r
 			return
 		}
 	}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -28,7 +28,6 @@
 	holds     *index[*hold]
 	hirings   map[string]*hiring
 	gone      map[string]bool          // deleted, by the cloud's word
-	parked    map[string]bool          // not counted on for new tasks, to be returned when empty
 	closing   map[string]bool          // those of them that get none while there is clearly too much
 	cuts      map[string]time.Duration // zones most of which is silent, since when
 	heard     map[string]int           // machines by zone that are heard and up,
@@ -64,7 +63,6 @@
 	f.holds = newIndex[*hold]()
 	f.hirings = map[string]*hiring{}
 	f.gone = map[string]bool{}
-	f.parked = map[string]bool{}
 	f.cuts = map[string]time.Duration{}
 	f.coming = map[int]float64{}
 	f.burst = 0
--- a/internal/core/flight.go
+++ b/internal/core/flight.go
@@ -31,20 +31,24 @@
 
 // rigView is the leader's picture of a machine.
 type rigView struct {
-	state     wire.MachineState
-	part      string
-	mt        *wire.MachineType
-	tasks     map[string]*flight
-	taken     usage // by them
-	images    map[string]bool
-	closing   bool // as its part was told
-	closingAt time.Duration
-	emptyAt   time.Duration
-	upAt      time.Duration
-	doubtAt   time.Duration   // since when its list is not to be trusted, if it is not
-	errors    map[string]bool // jobs that failed here since the last success
-	sick      bool
-	listed    uint64 // the epoch in which its part has listed it, 0: it no longer does
+	state      wire.MachineState
+	part       string
+	mt         *wire.MachineType
+	tasks      map[string]*flight
+	taken      usage // by them
+	images     map[string]bool
+	plan       planned // what the round that is under way makes of it
+	registered bool    // in the register
+	leaving    bool    // being returned, or gone
+	parked     bool    // not counted on for new tasks
+	closing    bool    // as its part was told
+	closingAt  time.Duration
+	emptyAt    time.Duration
+	upAt       time.Duration
+	doubtAt    time.Duration   // since when its list is not to be trusted, if it is not
+	errors     map[string]bool // jobs that failed here since the last success
+	sick       bool
+	listed     uint64 // the epoch in which its part has listed it, 0: it no longer does
 }
 
 // known reports whether no task but those that it lists can be on a machine.
@@ -73,7 +77,9 @@
 	v := o.rigs.get(name)
 	if v == nil {
 		v = &rigView{tasks: map[string]*flight{}, errors: map[string]bool{}, emptyAt: o.c.now.Steady, upAt: -1, doubtAt: o.c.now.Steady}
+		v.leaving = o.c.fleet.leaving(name)
 		if rec := o.c.ledger.machines.get(name); rec != nil {
+			v.registered = true
 			v.state = wire.MachineState{Name: name, Addr: rec.Addr, Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}
 			v.mt = o.c.types()[rec.Type]
 		}
@@ -82,6 +88,15 @@
 	return v
 }
 
+// inRegister follows the mirror: whether a machine may be given work.
+func (o *orchestrator) inRegister(name string, is bool) {
+	if v := o.rigs.get(name); v != nil {
+		v.registered = is
+	} else if is && o.epoch > 0 {
+		o.view(name) // until its part has told of it, it may hold anything
+	}
+}
+
 // release takes back a machine's claim on a task: it surely is not there.
 func (o *orchestrator) release(name string, f *flight, v *rigView) {
 	v.give(name)
@@ -195,8 +210,8 @@
 		// A machine that no part lists and that is out of the register was
 		// deleted by an earlier leader; what it was thought to run once held two
 		// tasks back for ever. The wait lets the mirror catch up.
-		forgotten := v.listed != o.epoch && o.c.ledger.machines.get(name) == nil && o.c.now.Steady-o.epochAt > 2*o.c.times.fresh
-		if forgotten || o.c.fleet.wasDeleted(name) {
+		forgotten := v.listed != o.epoch && !v.registered && o.c.now.Steady-o.epochAt > 2*o.c.times.fresh
+		if forgotten || v.leaving && o.c.fleet.wasDeleted(name) {
 			// Deleted by the cloud's word: it and its tasks are gone.
 			for _, t := range sortedKeys(v.tasks) {
 				o.release(t, v.tasks[t], v)
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -137,6 +137,12 @@
 	for _, it := range d.Items {
 		l.put(it.Key, it.Value, it.Version)
 	}
+	// The leader's books rest on the job records of the mirror that is gone: it begins
+	// anew, in an epoch of its own.
+	if l.c.members.leading {
+		l.c.members.leading = false
+		l.c.orch.leadership(false)
+	}
 	l.ready, l.revision, l.freshAt = true, d.Revision, d.Sent
 	l.c.info("state loaded", "keys", len(d.Items), "revision", d.Revision)
 }
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -27,6 +27,8 @@
 	ledSince time.Duration // since when the leader key is ours
 	leading  bool
 	away     map[string]time.Duration // controllers outside the map, since when
+	watched  *wire.MapRecord          // the map that this was read from
+	want     map[string]string        // members, as they should be
 }
 
 func newMembership(c *Core) *membership {
@@ -103,6 +105,7 @@
 		if m.leading {
 			m.ledSince = c.now.Steady
 			clear(m.away)
+			m.watched = nil
 			c.info("this node leads", "revision", c.ledger.versions[keyLeader])
 		} else {
 			c.info("this node no longer leads")
@@ -134,9 +137,10 @@
 // watchNodes notes which controllers are outside the map, for those on call.
 func (m *membership) watchNodes() {
 	rec := m.c.ledger.mapRec
-	if rec == nil {
+	if rec == nil || rec == m.watched {
 		return
 	}
+	m.watched = rec
 	labels := []string{m.c.set.Label}
 	for _, s := range m.c.set.Siblings {
 		labels = append(labels, s.Label)
@@ -174,7 +178,11 @@
 		return
 	}
 	rec := c.ledger.mapRec
-	want := map[string]string{}
+	if m.want == nil {
+		m.want = map[string]string{}
+	}
+	clear(m.want) // looked at with every batch of commands
+	want := m.want
 	settled := c.now.Steady-m.ledSince > c.times.report
 	missing := false
 	for label, n := range c.ledger.nodes {
@@ -200,7 +208,7 @@
 	if m.epoch() > c.orch.epochAtStart && maps.Equal(rec.Members, want) {
 		return
 	}
-	next := wire.MapRecord{Epoch: 1, Leader: c.set.Label, Members: want}
+	next := wire.MapRecord{Epoch: 1, Leader: c.set.Label, Members: maps.Clone(want)}
 	if rec != nil {
 		next.Epoch = rec.Epoch + 1
 	}
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -75,6 +75,8 @@
 	rigs         *index[*rigView]
 	queue        *index[*queued]
 	tasks        map[string]*flight
+	opens        map[string]*flight // those that may be open, and a few that no longer are
+	asks         map[string]*flight // the same of those that are asked to stop
 	used         map[string]*usage  // by team, what its tasks may be taking
 	unsaved      map[string]*queued // have completed tasks that are not durable
 	doubt        bool               // some job or task is in limbo
@@ -123,6 +125,7 @@
 
 func (o *orchestrator) clear() {
 	o.rigs, o.queue = newIndex[*rigView](), newIndex[*queued]()
+	o.opens, o.asks = map[string]*flight{}, map[string]*flight{}
 	o.tasks, o.used, o.unsaved = map[string]*flight{}, map[string]*usage{}, map[string]*queued{}
 	o.doubt = false
 }
@@ -187,11 +190,12 @@
 	}
 	// What was dispatched but not yet seen on a machine may be on any machine
 	// of a part that is gone; it counts as running until all are seen.
-	for _, f := range o.tasks {
+	for _, f := range o.opens {
 		if f.open {
 			f.open, f.limbo, o.doubt = false, true, true
 		}
 	}
+	clear(o.opens)
 	for _, p := range o.parts {
 		// A part may have entered this epoch, and told all, before we did.
 		p.synced = 0
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -23,6 +23,8 @@
 	hurried  []*rig        // have commands that should not wait for a report
 	dropped  []string      // no longer looked after, to be told
 	tendAt   time.Duration // when every machine's clock is looked at again
+	touched  []*rig        // may have room now, or none any more
+	roomy    *index[*rig]  // take new tasks and have room left, but for what is touched
 	placeDue bool          // there may be room that assigned tasks have not been held against
 	placeAt  time.Duration
 	assigned []*placed // dispatched, no room found yet
@@ -40,7 +42,9 @@
 	since    time.Duration // of this epoch
 }
 
-func newPart(c *Core) *part { return &part{c: c, rigs: newIndex[*rig](), fences: map[uint64]bool{}} }
+func newPart(c *Core) *part {
+	return &part{c: c, rigs: newIndex[*rig](), roomy: newIndex[*rig](), fences: map[uint64]bool{}}
+}
 
 // react follows the map, drops what can't be there any more, places and sends.
 func (p *part) react() {
@@ -80,14 +84,23 @@
 
 // mark notes that a machine's picture has changed, and with it its room.
 func (p *part) mark(r *rig) {
-	r.counted = false
-	p.placeDue = true
+	p.touch(r)
 	if !r.dirty {
 		r.dirty = true
 		p.changed = append(p.changed, r)
 	}
 }
 
+// touch notes that a machine's room may have changed.
+func (p *part) touch(r *rig) {
+	r.counted = false
+	p.placeDue = true
+	if !r.touched {
+		r.touched = true
+		p.touched = append(p.touched, r)
+	}
+}
+
 // hurry has a machine's commands sent without waiting for its next report.
 func (p *part) hurry(r *rig) {
 	if !r.urgent {
@@ -134,6 +147,7 @@
 // forget drops a machine.
 func (p *part) forget(r *rig) {
 	p.rigs.delete(r.name)
+	p.roomy.delete(r.name)
 	p.dropped = append(p.dropped, r.name)
 }
 
@@ -182,7 +196,8 @@
 // machineKnown takes a machine of the register.
 func (p *part) machineKnown(name string, rec *wire.MachineRecord) {
 	if r := p.rigs.get(name); r != nil {
-		r.registered, p.placeDue = true, true
+		r.registered = true
+		p.touch(r)
 		return
 	}
 	if !p.mine || p.c.members.owner(name) != p.c.set.Label {
--- a/internal/core/pictures.go
+++ b/internal/core/pictures.go
@@ -134,8 +134,8 @@
 			have[t.Task] = true
 		}
 	}
-	for _, name := range sortedKeys(o.tasks) {
-		if f := o.tasks[name]; f.part == p.label && f.open && !have[name] && (f.session != p.session || f.seq <= m.Read) {
+	for _, name := range sortedKeys(o.opens) {
+		if f := o.opens[name]; f.part == p.label && f.open && !have[name] && (f.session != p.session || f.seq <= m.Read) {
 			f.open = false
 			o.land(name, f)
 		}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -72,12 +72,21 @@
 		return
 	}
 	p.placeDue, p.placeAt = false, c.now.Steady+c.times.sort
-	var open []*rig
-	for _, r := range p.rigs.all() {
-		if r.open() && r.room().cpus > slack {
-			open = append(open, r)
+	// A full part has few machines with room, and looking for them among all of
+	// them for each report cost more the larger it was.
+	for _, r := range p.touched {
+		r.touched = false
+		if p.rigs.get(r.name) == r && r.open() && r.room().cpus > slack {
+			p.roomy.set(r.name, r)
+		} else if p.roomy.get(r.name) == r {
+			p.roomy.delete(r.name)
 		}
 	}
+	p.touched = p.touched[:0]
+	open := make([]*rig, 0, p.roomy.len())
+	for _, r := range p.roomy.all() {
+		open = append(open, r)
+	}
 	full := map[string]bool{} // jobs that found no room: their other tasks won't either
 	waiting := p.assigned[:0]
 	for _, t := range p.assigned {
--- a/internal/core/placed.go
+++ b/internal/core/placed.go
@@ -74,6 +74,7 @@
 	dirty   bool     // its picture has changed since it was last told
 	free    room     // what room found, while counted is set
 	counted bool
+	touched bool // its room may have changed since tasks were last placed
 }
 
 // room is what is free on a machine, starts under way counted. It is counted
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -131,6 +131,7 @@
 // ask has a part stop a task.
 func (o *orchestrator) ask(p *partView, f *flight, stop wire.TaskStop) {
 	f.asked = true
+	o.asks[stop.Task] = f
 	f.job.stops++
 	f.job.stopWhy = stop.Why
 	p.outbox.Stop = append(p.outbox.Stop, stop)
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -1,9 +1,10 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
 	"math"
-	"sort"
+	"slices"
 
 	"github.com/chalkhub/chalkhub/internal/config"
 	"github.com/chalkhub/chalkhub/internal/wire"
@@ -22,17 +23,14 @@
 // seen counts as full of the team's tasks.
 func (o *orchestrator) use() map[string]*usage {
 	var u usage
-	for name, rec := range o.unseen() {
-		mt := o.c.types()[rec.Type]
-		if mt == nil {
-			u = usage{cpus: math.Inf(1), gpus: math.Inf(1)}
-			break
-		}
-		u.cpus += mt.CPUs
-		u.gpus += mt.GPUs
-		if v := o.rigs.get(name); v != nil {
-			u.cpus -= v.taken.cpus // these are counted already
-			u.gpus -= v.taken.gpus
+	for name, v := range o.rigs.all() { // every machine of the register has a view
+		switch {
+		case !v.registered || v.known() || v.leaving && o.c.fleet.wasDeleted(name):
+		case v.mt == nil:
+			u.cpus, u.gpus = math.Inf(1), math.Inf(1)
+		default:
+			u.cpus += v.mt.CPUs - v.taken.cpus // these are counted already
+			u.gpus += v.mt.GPUs - v.taken.gpus
 		}
 	}
 	use := map[string]*usage{}
@@ -61,7 +59,7 @@
 	for i := range o.c.set.Site.Teams {
 		t := &o.c.set.Site.Teams[i]
 		jobs := byTeam[t.Name]
-		sort.SliceStable(jobs, func(a, b int) bool { return jobs[a].j.rec.At < jobs[b].j.rec.At })
+		slices.SortStableFunc(jobs, func(a, b *queued) int { return cmp.Compare(a.j.rec.At, b.j.rec.At) })
 		var cpus, gpus float64
 		for _, q := range jobs {
 			s := &q.j.rec.Spec
--- a/internal/core/rank.go
+++ b/internal/core/rank.go
@@ -12,6 +12,7 @@
 // (GPUs) times predicted duration of what is left of the job, which waiting shrinks.
 func (o *orchestrator) rank() []*queued {
 	o.guarantees()
+	o.c.est.refresh()
 	var jobs []*queued
 	for _, q := range o.queue.all() {
 		if q.j.final() || q.ending {
--- a/internal/core/register.go
+++ b/internal/core/register.go
@@ -41,7 +41,7 @@
 	}
 	var come []string
 	for name, v := range c.orch.rigs.all() {
-		if v.state.Up && c.ledger.machines.get(name) == nil && !c.fleet.leaving(name) {
+		if v.state.Up && !v.registered && !v.leaving {
 			come = append(come, name)
 		}
 	}
@@ -118,6 +118,7 @@
 		m := rec.Machines[name]
 		l.machines.set(name, &m)
 		l.c.part.machineKnown(name, &m)
+		l.c.orch.inRegister(name, true)
 	}
 	// Most of a key's machines stay on it: only the others are looked for elsewhere.
 	l.takeOut(slices.DeleteFunc(slices.Clone(was), func(name string) bool {
@@ -143,6 +144,7 @@
 		if !held {
 			l.machines.delete(name)
 			l.c.part.tendAt = 0
+			l.c.orch.inRegister(name, false)
 		}
 	}
 }
--- a/internal/core/return.go
+++ b/internal/core/return.go
@@ -18,7 +18,10 @@
 // boot left a full queue and empty machines.
 func (f *fleet) giveBack(d need, waiting []*queued) {
 	c := f.c
-	f.parked, f.closing = map[string]bool{}, map[string]bool{}
+	f.closing = map[string]bool{}
+	for _, v := range c.orch.rigs.all() {
+		v.parked = false
+	}
 	var up []*hold
 	var have, spot float64
 	for name, h := range f.holds.all() {
@@ -58,7 +61,7 @@
 			keep := config.Seconds(mt.BootS * c.policy.IdleBoots)
 			idle = idle && (surplus || c.now.Steady-v.emptyAt >= keep)
 		}
-		f.parked[h.name] = surplus || !h.spot
+		v.parked = surplus || !h.spot
 		f.closing[h.name] = surplus
 		have -= mt.CPUs
 		if h.spot {
@@ -101,6 +104,9 @@
 		return
 	}
 	h.leaving = why
+	if v := f.c.orch.rigs.get(h.name); v != nil {
+		v.leaving = true
+	}
 	f.c.info("returning machine", "machine", h.name, "type", h.typ, "zone", h.zone, "spot", h.spot, "why", why)
 }
 
@@ -192,5 +198,8 @@
 	for _, n := range d.Names {
 		f.holds.delete(n)
 		f.gone[n] = true
+		if v := f.c.orch.rigs.get(n); v != nil {
+			v.leaving = true
+		}
 	}
 }
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/chalkhub/chalkhub/internal/core"
 	"github.com/chalkhub/chalkhub/internal/fake"
@@ -35,7 +36,10 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			s := grown(b, 1, n)
 			b.ReportAllocs()
+			var own time.Duration
+			s.Applied = func(_ *fake.Node, _ []core.Command, took time.Duration) { own += took }
 			b.ResetTimer()
+			defer func() { b.ReportMetric(own.Seconds()*1000/float64(b.N), "core-ms/op") }()
 			for range b.N {
 				s.Users.Submit(fake.Array(n/2), 30)
 				s.Run(s.Now + second)
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -99,7 +99,7 @@
 			}
 		}
 		for k, m := range c.est.names {
-			s.Means[k] = m.mean
+			s.Means[k.String()] = m.mean
 		}
 		for id, q := range c.orch.queue.all() {
 			s.Queue = append(s.Queue, Waiting{Job: id, Waiting: max(q.waiting(), 0), Flying: len(q.flights), Reason: q.reason})
--- a/internal/core/tell.go
+++ b/internal/core/tell.go
@@ -16,7 +16,10 @@
 func (p *part) linkUp(session uint64) {
 	p.link, p.full, p.lastSeq = session, true, 0
 	for _, r := range p.rigs.all() {
-		r.closing = false // until the leader says so again
+		if r.closing {
+			r.closing = false // until the leader says so again
+			p.touch(r)
+		}
 	}
 	p.lastRead = p.c.now.Steady
 	p.c.emit(PeerSend{Session: session, Message: wire.PeerMessage{Hello: &wire.Hello{Label: p.c.set.Label, Boot: p.c.boot}}})
@@ -90,7 +93,8 @@
 func (p *part) close(names []string, closing bool) {
 	for _, name := range names {
 		if r := p.rigs.get(name); r != nil {
-			r.closing, p.placeDue = closing, true
+			r.closing = closing
+			p.touch(r)
 		}
 	}
 }
@@ -124,6 +128,7 @@
 		m.Dropped = p.dropped
 		slices.SortFunc(told, func(a, b *rig) int { return strings.Compare(a.name, b.name) })
 	}
+	m.Machines = make([]wire.MachineState, 0, len(told))
 	for _, r := range told {
 		r.dirty = false
 		r.whole = r.whole || p.full
