A job that ends is looked for only on machines that had its tasks

Cause: each ended job had every machine's every task looked at, on every controller: the largest cost of all on a large fleet with many jobs. Change: a part keeps, by job, the machines that its tasks were put on.

--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -27,7 +27,8 @@
 	roomy    *index[*rig]  // take new tasks and have room left, but for what is touched
 	placeDue bool          // there may be room that assigned tasks have not been held against
 	placeAt  time.Duration
-	assigned []*placed // dispatched, no room found yet
+	assigned []*placed               // dispatched, no room found yet
+	where    map[string]*index[*rig] // by job: machines that have or had its tasks
 	returned []wire.TaskTry
 	link     uint64 // to the leader, 0: none
 	linkName string
@@ -43,7 +44,7 @@
 }
 
 func newPart(c *Core) *part {
-	return &part{c: c, rigs: newIndex[*rig](), roomy: newIndex[*rig](), fences: map[uint64]bool{}}
+	return &part{c: c, rigs: newIndex[*rig](), roomy: newIndex[*rig](), where: map[string]*index[*rig]{}, fences: map[uint64]bool{}}
 }
 
 // react follows the map, drops what can't be there any more, places and sends.
@@ -219,10 +220,32 @@
 	return r
 }
 
-// jobOver sees to it that the tasks of a job that has ended are stopped.
+// add puts a task on a machine.
+func (p *part) add(r *rig, t *placed) {
+	r.tasks = append(r.tasks, t)
+	p.mark(r)
+	if j := p.c.ledger.accepted(t.ref); j != nil && j.final() {
+		return // it is over already
+	}
+	if p.where[t.ref] == nil {
+		p.where[t.ref] = newIndex[*rig]()
+	}
+	p.where[t.ref].set(r.name, r)
+}
+
+// jobOver sees to it that the tasks of a job that has ended are stopped. Looking for
+// them on every machine cost more than anything else on a large fleet with many jobs.
 func (p *part) jobOver(j *job) {
 	ref := j.rec.Spec.ID
-	for _, r := range p.rigs.all() {
+	was := p.where[ref]
+	delete(p.where, ref)
+	if was == nil {
+		was = newIndex[*rig]()
+	}
+	for name, r := range was.all() {
+		if p.rigs.get(name) != r {
+			continue
+		}
 		p.keep(r, func(t *placed) bool {
 			switch {
 			case t.ref != ref:
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -120,8 +120,7 @@
 		}
 		t.phase, t.since = phaseQueued, 0
 		c.debugf("placed", "task", t.task, "machine", best.name)
-		best.tasks = append(best.tasks, t)
-		p.mark(best)
+		p.add(best, t)
 		if best.heard+c.times.report-c.now.Steady > c.times.report/6 {
 			p.hurry(best)
 		}
@@ -140,8 +139,7 @@
 		return false
 	}
 	t.phase, t.state = phaseHeld, wire.StateHeld
-	r.tasks = append(r.tasks, t)
-	p.mark(r)
+	p.add(r, t)
 	return true
 }
 
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -125,8 +125,7 @@
 		if j := p.c.ledger.accepted(ref); j != nil {
 			t.spec = &j.rec.Spec
 		}
-		r.tasks = append(r.tasks, t)
-		p.mark(r)
+		p.add(r, t)
 	}
 	t.phase, t.stamp = phaseListed, r.stamp
 	if t.state == tr.State && t.why == tr.Why {
