--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -29,25 +29,15 @@
 	return d
 }
 
-// List reads every page of the list.
-func (c *Client) List() core.ListDone {
-	var d core.ListDone
-	since := ""
-	for {
-		var l wire.MachineList
-		q := "/machines?Page=500"
-		if since != "" {
-			q += "&Since=" + url.QueryEscape(since)
-		}
-		if d.Status = c.rpc.Call("GET", c.addr, q, nil, &l, timeout, 200); d.Status != 200 {
-			return d
-		}
-		d.Machines = append(d.Machines, l.Machines...)
-		if !l.More || len(l.Machines) == 0 {
-			return d
-		}
-		since = l.Machines[len(l.Machines)-1].Name
+// List reads a page of the list.
+func (c *Client) List(e core.List) core.ListDone {
+	q := "/machines?Page=500"
+	if e.Since != "" {
+		q += "&Since=" + url.QueryEscape(e.Since)
 	}
+	var l wire.MachineList
+	status := c.rpc.Call("GET", c.addr, q, nil, &l, timeout, 200)
+	return core.ListDone{Status: status, Machines: l.Machines, More: l.More}
 }
 
 // Hire rents machines.
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -58,6 +58,7 @@
 		OK       bool
 		Sent     time.Duration
 		Items    []wire.Item
+		More     bool
 		Revision uint64
 	}
 	// FollowDone answers Follow. Sent is when the request left.
@@ -90,10 +91,11 @@
 		Status int
 		Answer wire.MachineTypes
 	}
-	// ListDone answers List with every page.
+	// ListDone answers List with a page.
 	ListDone struct {
 		Status   int
 		Machines []wire.Machine
+		More     bool
 	}
 	// HireDone answers Hire.
 	HireDone struct {
@@ -138,8 +140,8 @@
 		ID  uint64
 		Txn wire.Txn
 	}
-	// Load reads every key.
-	Load struct{}
+	// Load reads a page of all keys, those after Since.
+	Load struct{ Since string }
 	// Follow waits for changes. A barrier does not wait.
 	Follow struct {
 		Since   uint64
@@ -165,8 +167,8 @@
 	}
 	// Types asks the cloud for its machine types.
 	Types struct{}
-	// List asks the cloud for its machines.
-	List struct{}
+	// List asks the cloud for a page of its machines, those after Since.
+	List struct{ Since string }
 	// Hire rents machines.
 	Hire struct{ Request wire.Hire }
 	// Delete returns machines.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,6 +58,7 @@
 	round  time.Duration // the leader's slow round: fleet, views, what could not be placed
 	sort   time.Duration // the leader's quick round: rank and dispatch
 	read   time.Duration // the shortest time between two barriers, and between two watches
+	page   time.Duration // the shortest time between two pages of a load
 }
 
 func newTimes(s *config.Settings) times {
@@ -74,9 +75,19 @@
 	t.sort = min(t.report/6, t.round)
 	// All nodes' watches and barriers together take at most half of the requests.
 	t.read = time.Duration(4 * float64(len(s.Siblings)+1) / s.Site.State.RPS * float64(time.Second))
+	// And if all of them load at once, three quarters.
+	t.page = t.read / 3
 	return t
 }
 
+// txnOps is how many keys one transaction may change: what the settings allow, and
+// half of a second's changes, since a larger one would never pass the limit while
+// others write too.
+func (c *Core) txnOps() int {
+	s := &c.set.Site.State
+	return max(min(s.TxnOps, int(s.WriteRPS/2)), 1)
+}
+
 // New makes the core of a controller. boot must differ in every process.
 func New(set *config.Settings, policy config.Policy, boot string, debug bool) *Core {
 	c := &Core{set: set, policy: policy, boot: boot, debug: debug, times: newTimes(set), guests: guestTeams(set.Site.Teams)}
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -114,14 +114,29 @@
 func (f *fleet) recall() {
 	span := 8 * f.c.times.lease.Seconds()
 	f.hosts = 0
-	for _, id := range sortedKeys(f.c.ledger.jobs) {
-		j := f.c.ledger.jobs[id]
-		s := &j.rec.Spec
-		if j.version == 0 || f.c.guests[s.Team] {
-			continue
+	count := func(s *wire.Job, at float64) {
+		if !f.c.guests[s.Team] {
+			f.hosts += float64(s.Tasks) * s.CPUs * f.c.est.predict(s) / span * math.Exp(-max(f.c.now.Wall-at, 0)/span)
+		}
+	}
+	l := f.c.ledger
+	for _, id := range sortedKeys(l.jobs) {
+		if j := l.jobs[id]; j.version > 0 {
+			count(&j.rec.Spec, j.rec.At)
 		}
-		age := max(f.c.now.Wall-j.rec.At, 0)
-		f.hosts += float64(s.Tasks) * s.CPUs * f.c.est.predict(s) / span * math.Exp(-age/span)
+	}
+	var recent []string
+	for id, e := range l.ended.jobs {
+		if f.c.now.Wall-float64(e.at) < 8*span {
+			recent = append(recent, id)
+		}
+	}
+	slices.Sort(recent)
+	for _, id := range recent {
+		e := l.ended.jobs[id]
+		s := l.ended.kinds[e.kind]
+		s.Tasks = int(e.tasks)
+		count(&s, float64(e.at))
 	}
 }
 
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"iter"
 	"time"
 
@@ -38,6 +39,8 @@
 	counter   int
 	listing   bool
 	listAt    time.Duration
+	listFrom  string          // the last machine of the pages read so far, empty: none yet
+	listSeen  map[string]bool // what they held
 	lists     int
 	asked     bool // for machine types
 	writing   bool
@@ -69,6 +72,7 @@
 	f.closed = map[pool]time.Duration{}
 	f.strikes = map[pool]int{}
 	f.lists, f.listAt = 0, 0
+	f.listFrom, f.listSeen = "", map[string]bool{}
 	f.desired = 0
 	f.typesSeen = nil
 }
@@ -98,12 +102,13 @@
 	}
 	if !f.listing && c.now.Steady >= f.listAt && f.spend() {
 		f.listing = true
-		c.emit(List{})
+		c.emit(List{Since: f.listFrom})
 	}
 }
 
 // keepTypes learns the machine types once and keeps them in the state service,
-// so that every node can judge submissions even while the cloud is out.
+// so that every node can judge submissions even while the cloud is out. There are
+// sites with more of them than one value holds.
 func (f *fleet) keepTypes() {
 	c := f.c
 	if len(c.ledger.types) > 0 || f.writing {
@@ -116,12 +121,61 @@
 		}
 		return
 	}
+	guards := []wire.Guard{c.members.leaderGuard()}
+	var ops []wire.Op
+	for key, rec := range shelveTypes(f.typesSeen.Types, int(c.set.Site.State.ValueKB*1024)/2) {
+		if _, there := c.ledger.versions[key]; !there && len(ops) < min(c.txnOps(), max(int(64/c.set.Site.State.ValueKB), 1)) {
+			ops = append(ops, wire.Op{Put: key, Value: rec})
+		}
+	}
+	if len(ops) == 0 {
+		return
+	}
 	f.writing = true
-	c.ledger.commit([]wire.Guard{c.members.leaderGuard()}, []wire.Op{{Put: keyTypes, Value: f.typesSeen}}, func(CommitDone) {
-		c.ledger.barrier(func(bool) { f.writing = false })
+	c.ledger.commit(guards, ops, func(d CommitDone) {
+		c.ledger.lookAgain(d.Status == 200 || d.Status == 409, c.times.round/4, func() { f.writing = false })
 	})
 }
 
+// shelveTypes divides machine types over keys, each value at most limit bytes by a
+// generous size of a type's description.
+func shelveTypes(types []wire.MachineType, limit int) iter.Seq2[string, wire.MachineTypes] {
+	return func(yield func(string, wire.MachineTypes) bool) {
+		total := len(types)
+		for n := 0; len(types) > 0; n++ {
+			size, k := 0, 0
+			for ; k < len(types); k++ {
+				size += 300 + len(types[k].Name)
+				for _, z := range types[k].Zones {
+					size += len(z) + 4
+				}
+				if k > 0 && size > limit {
+					break
+				}
+			}
+			key := keyTypes
+			if n > 0 {
+				key = fmt.Sprintf("%s/%04d", keyTypes, n)
+			}
+			if !yield(key, wire.MachineTypes{Types: types[:k], Total: total}) {
+				return
+			}
+			types = types[k:]
+		}
+	}
+}
+
+// putTypes takes one key of the machine types into the mirror. They are of use once
+// all are there: a job was else refused for a type that was still to be read.
+func (l *ledger) putTypes(rec *wire.MachineTypes) {
+	for i := range rec.Types {
+		l.shown[rec.Types[i].Name] = &rec.Types[i]
+	}
+	if len(l.shown) >= rec.Total {
+		l.types = l.shown
+	}
+}
+
 func (f *fleet) gotTypes(d TypesDone) {
 	if d.Status == 200 && len(d.Answer.Types) > 0 {
 		f.asked = false
@@ -138,22 +192,21 @@
 	return f.gone[name] || h != nil && h.leaving != ""
 }
 
+// listed takes a page of the list. Each page is a call of its own: a list of twenty
+// pages asked for at once went beyond the cloud's limit and never came to an end.
 func (f *fleet) listed(d ListDone) {
 	c := f.c
 	f.listing = false
-	f.listAt = c.now.Steady + max(f.lag()/2, 2*c.times.round)
 	if d.Status != 200 {
-		f.listAt = c.now.Steady + 2*c.times.round
+		f.listAt = c.now.Steady + 2*c.times.round // the same page again
 		return
 	}
 	if !c.members.leading {
 		return
 	}
-	f.lists++
-	seen := map[string]bool{}
 	for i := range d.Machines {
 		m := &d.Machines[i]
-		seen[m.Name] = true
+		f.listSeen[m.Name] = true
 		if f.gone[m.Name] {
 			continue
 		}
@@ -164,11 +217,18 @@
 		}
 		h.listed, h.state, h.missing = true, m.State, 0
 	}
+	if d.More && len(d.Machines) > 0 {
+		f.listFrom, f.listAt = d.Machines[len(d.Machines)-1].Name, c.now.Steady
+		return
+	}
+	f.lists++
+	f.listAt = c.now.Steady + max(f.lag()/2, 2*c.times.round)
 	for name, h := range f.holds.all() {
-		if !seen[name] && h.listed {
+		if !f.listSeen[name] && h.listed {
 			h.missing++
 		}
 	}
+	f.listFrom, f.listSeen = "", map[string]bool{}
 }
 
 func (f *fleet) adopt(name, typ, zone string, spot bool) *hold {
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -56,14 +56,21 @@
 	watching bool
 	lost     bool // the state service did not answer last time
 
-	versions map[string]uint64
-	jobs     map[string]*job
+	loadFrom string        // the last key of the load that is under way, empty: none yet
+	loadRev  uint64        // its revision, that of its first page
+	loadSent time.Duration // when that left
+	loadAt   time.Duration // when the next page may be asked for
+
+	versions map[string]uint64 // of keys other than jobs
+	jobs     map[string]*job   // that are not over
+	ended    *archive
 	nodes    map[string]wire.NodeRecord
 	leader   *wire.LeaderRecord
 	mapRec   *wire.MapRecord
 	machines *index[*wire.MachineRecord]
-	shelves  *index[[]string] // the register's keys, and the machines that each holds
-	types    map[string]*wire.MachineType
+	shelves  *index[[]string]             // the register's keys, and the machines that each holds
+	types    map[string]*wire.MachineType // empty until all are known
+	shown    map[string]*wire.MachineType // those that have been read so far
 	estimate *wire.EstimateRecord
 
 	watchAt     time.Duration // when the next watch may be opened
@@ -81,11 +88,11 @@
 
 func (l *ledger) reset() {
 	l.versions = map[string]uint64{}
-	l.jobs = map[string]*job{}
+	l.jobs, l.ended = map[string]*job{}, newArchive()
 	l.nodes = map[string]wire.NodeRecord{}
 	l.leader, l.mapRec, l.estimate = nil, nil, nil
 	l.machines, l.shelves = newIndex[*wire.MachineRecord](), newIndex[[]string]()
-	l.types = map[string]*wire.MachineType{}
+	l.types, l.shown = map[string]*wire.MachineType{}, map[string]*wire.MachineType{}
 }
 
 // fresh reports whether the mirror is young enough to act on.
@@ -98,7 +105,7 @@
 	if !l.ready {
 		if !l.loading {
 			l.loading = true
-			l.c.emit(Load{})
+			l.c.emit(Load{Since: l.loadFrom})
 		}
 		return
 	}
@@ -117,34 +124,51 @@
 // the watch of every node and every poll asked for a barrier, one after the other
 // as fast as they were answered, until renewals and submissions got a 429.
 func (l *ledger) paced(at time.Duration, send func()) time.Duration {
+	return l.pacedBy(l.c.times.read, at, send)
+}
+
+func (l *ledger) pacedBy(pace, at time.Duration, send func()) time.Duration {
 	now := l.c.now.Steady
 	if at <= now {
 		send()
 	} else {
 		l.c.after(at-now, send)
 	}
-	return max(at, now) + l.c.times.read
+	return max(at, now) + pace
 }
 
+// loaded takes a page of the keys and asks for the next. What changes meanwhile
+// comes again through the watch, which goes on from the first page's revision.
+//
+// Guards the state service's limit, and a load of a hundred thousand jobs against
+// beginning anew whenever one of its pages is refused.
 func (l *ledger) loaded(d LoadDone) {
-	l.loading = false
+	again := func() { l.c.emit(Load{Since: l.loadFrom}) }
 	if !d.OK {
-		l.loading = true
-		l.c.after(l.c.times.fresh/16, func() { l.c.emit(Load{}) })
+		l.c.after(l.c.times.fresh/16, again)
 		return
 	}
-	l.reset()
+	if l.loadFrom == "" {
+		l.reset()
+		l.loadRev, l.loadSent = d.Revision, d.Sent
+	}
 	for _, it := range d.Items {
 		l.put(it.Key, it.Value, it.Version)
 	}
+	if d.More && len(d.Items) > 0 {
+		l.loadFrom = d.Items[len(d.Items)-1].Key
+		l.loadAt = l.pacedBy(l.c.times.page, l.loadAt, again)
+		return
+	}
 	// The leader's books rest on the job records of the mirror that is gone: it begins
 	// anew, in an epoch of its own.
 	if l.c.members.leading {
 		l.c.members.leading = false
 		l.c.orch.leadership(false)
 	}
-	l.ready, l.revision, l.freshAt = true, d.Revision, d.Sent
-	l.c.info("state loaded", "keys", len(d.Items), "revision", d.Revision)
+	l.loading, l.loadFrom = false, ""
+	l.ready, l.revision, l.freshAt = true, l.loadRev, l.loadSent
+	l.c.info("state loaded", "keys", len(l.versions)+len(l.jobs)+len(l.ended.jobs), "ended jobs", len(l.ended.jobs), "revision", l.revision)
 }
 
 func (l *ledger) followed(d FollowDone) {
@@ -157,6 +181,9 @@
 			l.lost = false
 			l.c.info("state service is back")
 		}
+		if !l.ready {
+			break // a load is under way, and its own watch will tell
+		}
 		for _, e := range d.Answer.Events {
 			// A watch and a barrier overlap: what an earlier answer brought is
 			// not taken again, or the mirror would step back.
@@ -166,7 +193,7 @@
 			if e.Put != "" {
 				l.put(e.Put, e.Value, e.Version)
 			} else {
-				l.remove(e.Delete)
+				l.remove(e.Delete, e.Version)
 			}
 		}
 		l.revision = max(l.revision, d.Answer.Revision)
@@ -187,7 +214,7 @@
 		done := l.barrierNow
 		l.barrierNow = nil
 		for _, f := range done {
-			f(d.Status == 200)
+			f(d.Status == 200 && l.ready)
 		}
 		l.startBarrier()
 	}
@@ -255,7 +282,17 @@
 	case strings.HasPrefix(key, keyJob):
 		var rec wire.JobRecord
 		if err = wire.Decode(value, &rec); err == nil {
-			j := l.job(key[len(keyJob):])
+			id := key[len(keyJob):]
+			if e, ok := l.ended.jobs[id]; ok {
+				if version > e.version && rec.State != wire.JobQueued {
+					l.ended.put(&rec, version)
+				}
+				return
+			}
+			j := l.job(id)
+			if j.version > version {
+				return
+			}
 			over := !j.final() && rec.State != wire.JobQueued
 			j.rec, j.version = rec, version
 			if j.final() {
@@ -267,8 +304,12 @@
 			l.c.orch.jobChanged(j)
 			if over {
 				l.c.part.jobOver(j)
+				l.ended.put(&rec, version)
+				delete(l.jobs, id)
 			}
 		}
+		l.report(key, err)
+		return
 	case strings.HasPrefix(key, keyProgress):
 		err = l.putProgress(key[len(keyProgress):], value, version)
 	case strings.HasPrefix(key, keyNode):
@@ -291,12 +332,10 @@
 		if err = wire.Decode(value, rec); err == nil {
 			l.mapRec = rec
 		}
-	case key == keyTypes:
+	case strings.HasPrefix(key, keyTypes):
 		var rec wire.MachineTypes
 		if err = wire.Decode(value, &rec); err == nil {
-			for i := range rec.Types {
-				l.types[rec.Types[i].Name] = &rec.Types[i]
-			}
+			l.putTypes(&rec)
 		}
 	case key == keyEstimate:
 		rec := &wire.EstimateRecord{}
@@ -304,10 +343,14 @@
 			l.estimate = rec
 		}
 	}
+	l.report(key, err)
+	l.versions[key] = version
+}
+
+func (l *ledger) report(key string, err error) {
 	if err != nil {
 		l.c.emit(Log{Level: LevelError, Text: "cannot read a key of the state service", Args: []any{"key", key, "error", err}})
 	}
-	l.versions[key] = version
 }
 
 func (l *ledger) putProgress(name string, value wire.Raw, version uint64) error {
@@ -324,11 +367,14 @@
 	if err != nil {
 		return err
 	}
-	j := l.job(id)
-	j.blocks[block] = version
-	if j.final() {
+	if _, over := l.ended.jobs[id]; over {
 		return nil
 	}
+	j := l.job(id)
+	if j.blocks == nil {
+		j.blocks = map[int]uint64{}
+	}
+	j.blocks[block] = version
 	for block >= len(j.done) {
 		j.done = append(j.done, nil)
 	}
@@ -341,14 +387,17 @@
 func (l *ledger) job(id string) *job {
 	j := l.jobs[id]
 	if j == nil {
-		j = &job{blocks: map[int]uint64{}}
+		j = &job{}
 		j.rec.State = wire.JobQueued
 		l.jobs[id] = j
 	}
 	return j
 }
 
-func (l *ledger) remove(key string) {
+func (l *ledger) remove(key string, version uint64) {
+	if l.versions[key] > version {
+		return // a page of a load was newer
+	}
 	delete(l.versions, key)
 	switch {
 	case strings.HasPrefix(key, keyNode):
@@ -367,10 +416,13 @@
 
 // accepted returns the job if the state service holds it.
 func (l *ledger) accepted(id string) *job {
-	if j := l.jobs[id]; j != nil && j.version > 0 {
+	if j := l.jobs[id]; j != nil {
+		if j.version == 0 {
+			return nil
+		}
 		return j
 	}
-	return nil
+	return l.ended.get(id)
 }
 
 // later answers that the request must be repeated, at once and with a time.
@@ -549,7 +601,7 @@
 func (l *ledger) finalOps(j *job, rec wire.JobRecord) []wire.Op {
 	ops := []wire.Op{{Put: keyJob + rec.Spec.ID, Value: rec}}
 	for b := 0; b <= wire.MaxTasks/progressBlock; b++ {
-		if j.blocks[b] > 0 && len(ops) < l.c.set.Site.State.TxnOps {
+		if j.blocks[b] > 0 && len(ops) < l.c.txnOps() {
 			ops = append(ops, wire.Op{Delete: progressKey(rec.Spec.ID, b)})
 		}
 	}
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -198,7 +198,7 @@
 	clear(o.opens)
 	for _, p := range o.parts {
 		// A part may have entered this epoch, and told all, before we did.
-		p.synced = 0
+		p.synced, p.have = 0, nil
 		p.outbox, p.dirty = wire.PeerMessage{Resync: true}, true
 	}
 	if first {
--- a/internal/core/pictures.go
+++ b/internal/core/pictures.go
@@ -13,7 +13,10 @@
 	label, boot string
 	session     uint64
 	heard       time.Duration
-	synced      uint64 // epoch of the last whole picture
+	synced      uint64          // epoch of the last whole picture
+	have        map[string]bool // tasks that the pieces of one have named so far, nil: none is under way
+	piece       int             // the last of them
+	read        uint64          // the last of our messages that it takes account of
 	unfit       bool
 	sent        uint64 // messages sent over the session
 	outbox      wire.PeerMessage
@@ -35,7 +38,7 @@
 	delete(o.sessions, session)
 	if p := o.parts[label]; p != nil && p.session == session {
 		p.session = 0
-		p.synced = 0
+		p.synced, p.have = 0, nil
 	}
 }
 
@@ -50,7 +53,7 @@
 		o.c.emit(PeerClose{Session: p.session})
 		delete(o.sessions, p.session)
 	}
-	p.boot, p.session, p.heard, p.synced, p.sent = h.Boot, session, o.c.now.Steady, 0, 0
+	p.boot, p.session, p.heard, p.synced, p.sent, p.have = h.Boot, session, o.c.now.Steady, 0, 0, nil
 	p.outbox, p.dirty = wire.PeerMessage{}, false
 	for _, v := range o.rigs.all() {
 		v.closing = v.closing && v.part != p.label
@@ -89,11 +92,13 @@
 	if o.epoch == 0 || m.Epoch != o.epoch {
 		return
 	}
-	if m.Full {
+	switch {
+	case m.Full:
+		if m.Piece > 0 && (p.have == nil || m.Piece != p.piece+1) {
+			return // its first pieces came before we were in this epoch: it is asked again
+		}
 		o.whole(p, m)
-		p.synced = o.epoch
-		o.lastSort = 0 // its machines are waiting for work
-	} else if p.synced != o.epoch {
+	case p.synced != o.epoch:
 		return // its whole picture is still to come
 	}
 	for _, name := range m.Dropped {
@@ -113,33 +118,42 @@
 	o.settle()
 }
 
-// whole compares a part's whole picture with what was dispatched to it: what is
-// neither on one of its machines nor assigned there was lost with an earlier
-// link and will never be read.
+// whole takes a piece of a part's whole picture. Once it has all of them it compares
+// the picture with what was dispatched to the part: what is neither on one of its
+// machines nor assigned there was lost with an earlier link and will never be read.
 //
 // Guards against taking a dispatch for lost that is still on its way: a picture
 // made before the part had read it once had hundreds of tasks started twice.
 func (o *orchestrator) whole(p *partView, m *wire.PeerMessage) {
-	for _, v := range o.rigs.all() {
-		if v.part == p.label {
-			v.listed = 0
+	p.piece = m.Piece
+	if m.Piece == 0 {
+		p.have, p.read = map[string]bool{}, m.Read
+		for _, v := range o.rigs.all() {
+			if v.part == p.label {
+				v.listed = 0
+			}
 		}
 	}
-	have := map[string]bool{}
 	for _, t := range m.Assigned {
-		have[t.Task] = true
+		p.have[t.Task] = true
 	}
 	for i := range m.Machines {
 		for _, t := range m.Machines[i].Tasks {
-			have[t.Task] = true
+			p.have[t.Task] = true
 		}
 	}
+	if m.More {
+		return
+	}
 	for _, name := range sortedKeys(o.opens) {
-		if f := o.opens[name]; f.part == p.label && f.open && !have[name] && (f.session != p.session || f.seq <= m.Read) {
+		if f := o.opens[name]; f.part == p.label && f.open && !p.have[name] && (f.session != p.session || f.seq <= p.read) {
 			f.open = false
 			o.land(name, f)
 		}
 	}
+	p.have = nil
+	p.synced = o.epoch
+	o.lastSort = 0 // its machines are waiting for work
 }
 
 // machine takes a part's picture of one machine.
--- a/internal/core/progress.go
+++ b/internal/core/progress.go
@@ -66,7 +66,7 @@
 	guards := []wire.Guard{o.c.members.leaderGuard(), {Key: keyJob + q.id, Version: q.j.version}}
 	var ops []wire.Op
 	for b := range wire.MaxTasks/progressBlock + 1 {
-		if s := sets[b]; s != nil && len(ops) < o.c.set.Site.State.TxnOps {
+		if s := sets[b]; s != nil && len(ops) < o.c.txnOps() {
 			guards = append(guards, o.c.ledger.guard(progressKey(q.id, b)))
 			ops = append(ops, wire.Op{Put: progressKey(q.id, b), Value: wire.ProgressRecord{Bits: s.Text()}})
 		}
--- a/internal/core/register.go
+++ b/internal/core/register.go
@@ -30,7 +30,7 @@
 // shelves is how many keys one transaction may change: half of the 64 KiB that a
 // transaction may have, and what the settings allow.
 func (g *register) shelves() int {
-	return max(min(g.c.set.Site.State.TxnOps, int(64/g.c.set.Site.State.ValueKB)), 1)
+	return max(min(g.c.txnOps(), int(64/g.c.set.Site.State.ValueKB)), 1)
 }
 
 // step writes what has come up since, and takes out what is gone.
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -82,6 +82,13 @@
 	for _, j := range c.ledger.jobs {
 		s.Jobs[j.rec.State]++
 	}
+	for _, e := range c.ledger.ended.jobs {
+		if e.done {
+			s.Jobs[wire.JobDone]++
+		} else {
+			s.Jobs[wire.JobCancelled]++
+		}
+	}
 	for name, r := range c.part.rigs.all() {
 		s.Machines[name] = Machine{Type: r.typ, Zone: r.zone, Spot: r.spot, Trusted: r.trusted, Silent: r.lapsed, Drain: r.draining, Tasks: len(r.tasks)}
 	}
--- a/internal/core/tell.go
+++ b/internal/core/tell.go
@@ -148,7 +148,9 @@
 		c.loop = append(c.loop, func() { c.orch.fromPart(selfLink, &m) })
 		return
 	}
-	c.emit(PeerSend{Session: p.link, Message: m})
+	for _, piece := range m.Pieces() {
+		c.emit(PeerSend{Session: p.link, Message: piece})
+	}
 }
 
 // picture is what the leader is told of a machine: all of it, or what has changed.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -23,13 +23,13 @@
 type Outside struct {
 	State interface {
 		Commit(core.Commit) core.CommitDone
-		Load() core.LoadDone
+		Load(core.Load) core.LoadDone
 		Follow(core.Follow) core.FollowDone
 		Lease(core.Lease) core.LeaseDone
 	}
 	Cloud interface {
 		Types() core.TypesDone
-		List() core.ListDone
+		List(core.List) core.ListDone
 		Hire(core.Hire) core.HireDone
 		Delete(core.Delete) core.DeleteDone
 	}
@@ -177,7 +177,7 @@
 	case core.Commit:
 		go func() { e.Post(e.out.State.Commit(f)) }()
 	case core.Load:
-		go func() { e.Post(e.out.State.Load()) }()
+		go func() { e.Post(e.out.State.Load(f)) }()
 	case core.Follow:
 		go func() { e.Post(e.out.State.Follow(f)) }()
 	case core.Lease:
@@ -189,7 +189,7 @@
 	case core.Types:
 		go func() { e.Post(e.out.Cloud.Types()) }()
 	case core.List:
-		go func() { e.Post(e.out.Cloud.List()) }()
+		go func() { e.Post(e.out.Cloud.List(f)) }()
 	case core.Hire:
 		go func() { e.Post(e.out.Cloud.Hire(f)) }()
 	case core.Delete:
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -403,7 +403,7 @@
 		}, func(d core.CommitDone) { mine(func() { post(d) })() }, mine(func() { post(core.CommitDone{ID: e.ID}) }))
 	case core.Load:
 		call(w, n.Label, "state", timeout, func(reply func(core.LoadDone)) {
-			reply(w.State.load(n.Label, sent))
+			reply(w.State.load(n.Label, e.Since, sent))
 		}, func(d core.LoadDone) { mine(func() { post(d) })() }, mine(func() { post(core.LoadDone{}) }))
 	case core.Follow:
 		call(w, n.Label, "state", timeout+e.Hold, func(reply func(core.FollowDone)) {
@@ -436,7 +436,7 @@
 		}, func(d core.TypesDone) { mine(func() { post(d) })() }, mine(func() { post(core.TypesDone{}) }))
 	case core.List:
 		call(w, n.Label, "cloud", timeout, func(reply func(core.ListDone)) {
-			reply(core.ListDone{Status: 200, Machines: w.Cloud.list()})
+			reply(w.Cloud.list(e.Since))
 		}, func(d core.ListDone) { mine(func() { post(d) })() }, mine(func() { post(core.ListDone{}) }))
 	case core.Hire:
 		call(w, n.Label, "cloud", timeout, func(reply func(core.HireDone)) {
@@ -445,6 +445,10 @@
 		}, func(d core.HireDone) { mine(func() { post(d) })() }, mine(func() { post(core.HireDone{Request: e.Request.Request}) }))
 	case core.Delete:
 		call(w, n.Label, "cloud", timeout, func(reply func(core.DeleteDone)) {
+			if w.Cloud.limited() {
+				reply(core.DeleteDone{Names: e.Names, Status: 429})
+				return
+			}
 			w.Cloud.Remove(e.Names...)
 			reply(core.DeleteDone{Names: e.Names, Status: 200})
 		}, func(d core.DeleteDone) { mine(func() { post(d) })() }, mine(func() { post(core.DeleteDone{Names: e.Names}) }))
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -11,8 +11,8 @@
 	"github.com/chalkhub/chalkhub/internal/wire"
 )
 
-// page is how many keys are read at once.
-const page = 500
+// page is how many keys are read at once: the most that the service gives.
+const page = 1000
 
 // Client talks to the state service. Its methods block.
 type Client struct {
@@ -37,30 +37,18 @@
 	return d
 }
 
-// Load reads every key of ours. The revision is that of the first page: what
-// changes while later pages are read comes again through the watch.
-func (c *Client) Load() core.LoadDone {
+// Load reads a page of our keys.
+func (c *Client) Load(e core.Load) core.LoadDone {
 	d := core.LoadDone{Sent: c.clock()}
-	since := ""
-	for {
-		var items wire.Items
-		q := "/store?Starts=" + url.QueryEscape(core.KeyPrefix) + "&Page=" + strconv.Itoa(page)
-		if since != "" {
-			q += "&Since=" + url.QueryEscape(since)
-		}
-		if c.rpc.Call("GET", c.addr, q, nil, &items, c.timeout, 200) != 200 {
-			return d
-		}
-		if since == "" {
-			d.Revision = items.Revision
-		}
-		d.Items = append(d.Items, items.Items...)
-		if !items.More || len(items.Items) == 0 {
-			d.OK = true
-			return d
-		}
-		since = items.Items[len(items.Items)-1].Key
+	q := "/store?Starts=" + url.QueryEscape(core.KeyPrefix) + "&Page=" + strconv.Itoa(page)
+	if e.Since != "" {
+		q += "&Since=" + url.QueryEscape(e.Since)
 	}
+	var items wire.Items
+	if c.rpc.Call("GET", c.addr, q, nil, &items, c.timeout, 200) == 200 {
+		d.OK, d.Items, d.More, d.Revision = true, items.Items, items.More, items.Revision
+	}
+	return d
 }
 
 // Follow waits for changes.
--- a/internal/wire/cloud.go
+++ b/internal/wire/cloud.go
@@ -31,6 +31,8 @@
 // of it in the state service.
 type MachineTypes struct {
 	Types []MachineType `msgpack:"Rigtypes"`
+	// Total is how many there are on all keys of the state service together.
+	Total int `msgpack:"total,omitempty"`
 }
 
 // Hire asks for machines.
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -9,7 +9,9 @@
 	Seq      uint64         `json:"seq,omitempty"`  // counts the leader's messages over a link
 	Read     uint64         `json:"read,omitempty"` // with Full: the last of them that the picture takes account of
 	Hello    *Hello         `json:"hello,omitempty"`
-	Full     bool           `json:"full,omitempty"` // Machines and Assigned are complete
+	Full     bool           `json:"full,omitempty"`  // Machines and Assigned are complete
+	Piece    int            `json:"piece,omitempty"` // with Full: the how manyth of its messages, from 0
+	More     bool           `json:"more,omitempty"`  // with Full: the next message goes on with them
 	Machines []MachineState `json:"machines,omitempty"`
 	Assigned []TaskTry      `json:"assigned,omitempty"` // dispatched, not placed yet
 	Returned []TaskTry      `json:"returned,omitempty"` // could not be placed
@@ -27,6 +29,40 @@
 	Resync   bool       `json:"resync,omitempty"` // the whole picture again, please
 }
 
+// pieceSize is how many machines and tasks one message tells of, at the most, but for
+// a single machine with more: some dozens of KB of text.
+const pieceSize = 256
+
+// Pieces divides a member's message into several that tell the same one after the
+// other, so that no line of a link grows with the fleet.
+//
+// Guards against a whole picture longer than a link takes: with ten thousand machines
+// of sixty tasks each it would have been, and the link closed at every try.
+func (m *PeerMessage) Pieces() []PeerMessage {
+	var out []PeerMessage
+	next := *m
+	rest := m.Machines
+	for {
+		size, k := 0, 0
+		for ; k < len(rest); k++ {
+			size += 1 + len(rest[k].Tasks) + len(rest[k].Left)
+			if k > 0 && size > pieceSize {
+				break
+			}
+		}
+		next.Machines, rest = rest[:k], rest[k:]
+		next.More = m.Full && len(rest) > 0
+		out = append(out, next)
+		if len(rest) == 0 {
+			return out
+		}
+		next = PeerMessage{Epoch: m.Epoch, Unfit: m.Unfit, Full: m.Full}
+		if m.Full {
+			next.Piece = len(out)
+		}
+	}
+}
+
 // Hello opens a peer link.
 type Hello struct {
 	Label string `json:"label"`
