Room made for urgent work is not taken by work that is less urgent

Change: a machine on which tasks are stopped for others is left alone by what is less urgent. Ruled out: holding the room by name for one job, which strands it if that job ends first.

--- a/internal/core/closing.go
+++ b/internal/core/closing.go
@@ -52,7 +52,7 @@
 		room -= v.taken.cpus
 		for _, name := range sortedKeys(v.tasks) {
 			if t := v.tasks[name]; !t.asked {
-				c.orch.ask(p, t, wire.TaskStop{Task: name, Machine: h.name, Why: "tasks moved off a machine that is no longer needed"})
+				c.orch.ask(p, t, wire.TaskStop{Task: name, Machine: h.name, Why: "tasks moved off a machine that is no longer needed"}, leastUrgent)
 			}
 		}
 	}
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -29,12 +29,13 @@
 	part *partView
 	view *rigView
 	warm bool // holds the image of the job that is looked at
-	made bool // tasks are being stopped here for somebody else
+	made bool // tasks are being stopped here for somebody else,
+	due  int  // as urgent as this
 }
 
 func (o *orchestrator) plan() *plan {
 	guessed := map[string][]*flight{}
-	made := map[string]bool{}
+	made := map[string]int{} // machine -> the urgency that room is made for
 	for name, f := range o.opens {
 		if f.open {
 			guessed[f.guess] = append(guessed[f.guess], f)
@@ -44,7 +45,9 @@
 	}
 	for name, f := range o.asks {
 		if o.tasks[name] == f {
-			made[f.machine] = true
+			if due, ok := made[f.machine]; !ok || f.askedFor < due {
+				made[f.machine] = f.askedFor
+			}
 		} else {
 			delete(o.asks, name)
 		}
@@ -63,11 +66,11 @@
 		// The machine's own, made anew: ten thousand of them for each round were
 		// most of what the leader allocated.
 		m := &v.plan
-		*m = planned{name: name, part: p, view: v, room: room{
+		*m = planned{name: name, part: p, view: v, due: leastUrgent, room: room{
 			cpus: v.mt.CPUs - v.taken.cpus, gpus: v.mt.GPUs - v.taken.gpus, mem: v.mt.MemoryGB - v.taken.mem, typ: s.Type, zone: s.Zone, spot: s.Spot, images: v.images,
 		}}
-		if len(made) > 0 {
-			m.made = made[name]
+		if due, ok := made[name]; ok {
+			m.made, m.due = true, due
 		}
 		if len(guessed) > 0 {
 			for _, f := range guessed[name] {
@@ -162,8 +165,12 @@
 
 // fitting lists the machines with room for a task, in the order in which they
 // are filled. What is full by now leaves the plan's free machines.
+//
+// Guards against small tasks that take, bit by bit, the room that others were stopped
+// for: a guest's next ones did, and those of two less urgent jobs that were stopped in
+// turn on the only machine that an urgent one could use, once a round for half an hour.
 func (o *orchestrator) fitting(s *wire.Job, p *plan) []*planned {
-	like := shape{s.CPUs, s.GPUs, s.MemoryGB, s.Zone, s.Spot, o.c.guests[s.Team], strings.Join(s.Types, " ")}
+	like := shape{s.CPUs, s.GPUs, s.MemoryGB, s.Zone, s.Spot, o.c.guests[s.Team], strings.Join(s.Types, " "), urgency(s.Urgency)}
 	if p.none[like] {
 		return nil // within a round room only shrinks
 	}
@@ -175,9 +182,7 @@
 			continue
 		}
 		free = append(free, m)
-		// A guest's next task would take, bit by bit, the room that its last ones
-		// are being stopped for.
-		if m.fits(s) && mayUse(s, m.typ, m.zone, m.spot) && !(m.made && o.c.guests[s.Team]) {
+		if m.fits(s) && mayUse(s, m.typ, m.zone, m.spot) && !(m.made && (o.c.guests[s.Team] || urgency(s.Urgency) > m.due)) {
 			m.warm = m.has(s.Image)
 			out = append(out, m)
 			room[m.part] += m.cpus
@@ -207,6 +212,7 @@
 	zone            string
 	spot, guest     bool
 	types           string
+	urgency         int
 }
 
 // first is what a comparison returns when its left side does, or does not, come first.
--- a/internal/core/flight.go
+++ b/internal/core/flight.go
@@ -13,20 +13,21 @@
 
 // flight is a task that has been dispatched and may be on a machine.
 type flight struct {
-	job     *queued
-	index   int
-	attempt uint64
-	machine string          // where it is, as far as is known
-	claims  map[string]bool // every machine that lists it, surely or perhaps
-	open    bool            // dispatched, the part has not told where to
-	guess   string          // where the plan saw room for it
-	part    string
-	session uint64 // the link that its dispatch went over
-	seq     uint64 // and the message that carried it
-	limbo   bool   // its part is gone and it may be on any machine not seen yet
-	state   string
-	runAt   time.Duration // when it was first seen running, 0: not yet
-	asked   bool          // to stop
+	job      *queued
+	index    int
+	attempt  uint64
+	machine  string          // where it is, as far as is known
+	claims   map[string]bool // every machine that lists it, surely or perhaps
+	open     bool            // dispatched, the part has not told where to
+	guess    string          // where the plan saw room for it
+	part     string
+	session  uint64 // the link that its dispatch went over
+	seq      uint64 // and the message that carried it
+	limbo    bool   // its part is gone and it may be on any machine not seen yet
+	state    string
+	runAt    time.Duration // when it was first seen running, 0: not yet
+	asked    bool          // to stop,
+	askedFor int           // for work as urgent as this
 }
 
 // rigView is the leader's picture of a machine.
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -125,12 +125,14 @@
 	if urgency(v.f.job.j.rec.Spec.Urgency) <= urgency(q.j.rec.Spec.Urgency) {
 		why = "tasks stopped to give another team its guarantee"
 	}
-	o.ask(v.m.part, v.f, wire.TaskStop{Task: v.name, Machine: v.m.name, Why: why, Now: o.hurries(q)})
+	o.ask(v.m.part, v.f, wire.TaskStop{Task: v.name, Machine: v.m.name, Why: why, Now: o.hurries(q)}, urgency(q.j.rec.Spec.Urgency))
+	v.m.made, v.m.due = true, min(v.f.askedFor, v.m.due)
 }
 
-// ask has a part stop a task.
-func (o *orchestrator) ask(p *partView, f *flight, stop wire.TaskStop) {
-	f.asked = true
+// ask has a part stop a task. Until it has, work that is less urgent than due does not
+// take its room.
+func (o *orchestrator) ask(p *partView, f *flight, stop wire.TaskStop, due int) {
+	f.asked, f.askedFor = true, due
 	o.asks[stop.Task] = f
 	f.job.stops++
 	f.job.stopWhy = stop.Why
--- a/internal/core/rank.go
+++ b/internal/core/rank.go
@@ -75,5 +75,7 @@
 	case wire.UrgencyNormal:
 		return 2
 	}
-	return 3
+	return leastUrgent
 }
+
+const leastUrgent = 3
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -20,8 +20,11 @@
 var (
 	seeds     = flag.Uint64("seeds", 80, "how many overlapping days are drawn")
 	firstSeed = flag.Uint64("seed", 0, "the first of them")
+	logLines  = flag.Int("loglines", 40, "how many log lines a story that fails shows")
 )
 
+func init() { flag.BoolVar(&fake.Debug, "debuglogs", false, "stories log at level debug") }
+
 // story runs a world and fails on any broken rule.
 type story struct {
 	*fake.World
@@ -66,7 +69,7 @@
 func (s *story) rules() {
 	s.t.Helper()
 	if len(s.Broken) > 0 {
-		s.t.Fatalf("%d broken rules:\n%s\n%s", len(s.Broken), strings.Join(s.Broken[:min(len(s.Broken), 12)], "\n"), s.lastLogs(200))
+		s.t.Fatalf("%d broken rules:\n%s\n%s", len(s.Broken), strings.Join(s.Broken[:min(len(s.Broken), 12)], "\n"), s.lastLogs(5**logLines))
 	}
 }
 
@@ -75,7 +78,7 @@
 	s.t.Helper()
 	if !s.Until(s.Now+d, cond) {
 		s.rules()
-		s.t.Fatalf("not within %v: %s\n%s", d, what, s.lastLogs(40))
+		s.t.Fatalf("not within %v: %s\n%s", d, what, s.lastLogs(*logLines))
 	}
 	s.rules()
 }
@@ -1023,3 +1026,21 @@
 	s.Run(s.Now + second)
 	s.rules()
 }
+
+// Room made for an urgent task of four CPUs is not taken bit by bit by small tasks that
+// are less urgent: those were stopped in turn, once a round, and neither ever ended.
+func TestRoomMadeIsKeptForTheUrgent(t *testing.T) {
+	s := begin(t, 48)
+	s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = 0, 0
+	s.Cloud.Add("box", "a", false)
+	long := fake.Array(3)
+	long.CheckpointS, long.SaveS = 4, 1
+	l := s.Users.Submit(long, 300)
+	s.within(30*second, "it leaves one CPU free", func() bool { return l.Running() == 3 })
+	big, small := fake.Array(1), fake.Array(1)
+	big.CPUs, big.Urgency = 4, wire.UrgencyHigh
+	small.CheckpointS, small.SaveS = 4, 1
+	h := s.Users.Submit(big, 5)
+	s.Users.Submit(small, 300)
+	s.within(20*second, "the urgent job is done", func() bool { return h.Told == wire.JobDone })
+}
--- a/internal/core/worlds_test.go
+++ b/internal/core/worlds_test.go
@@ -46,7 +46,7 @@
 		asked, served := s.Users.Asked, s.Users.Served
 		s.Run(s.Now + max(2*d.lease(), 20*second))
 		if asked, served = s.Users.Asked-asked, s.Users.Served-served; served*10 < asked*9 {
-			rt.Fatalf("after all troubles %d of %d requests are answered\n%s", served, asked, s.lastLogs(60))
+			rt.Fatalf("after all troubles %d of %d requests are answered\n%s", served, asked, s.lastLogs(*logLines))
 		}
 		// Users give up in the end on what runs for ever or fails everywhere.
 		for _, j := range d.endless {
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -16,6 +16,9 @@
 	"github.com/chalkhub/chalkhub/internal/wire"
 )
 
+// Debug has the nodes of all worlds log at that level.
+var Debug bool
+
 // World is a whole deployment.
 type World struct {
 	Now     time.Duration
@@ -35,8 +38,7 @@
 	// PeersRefuse makes controllers refuse one another's new connections.
 	PeersRefuse bool
 	// Loss is the share of calls whose request or answer is lost.
-	Loss  float64
-	Debug bool // keep debug lines too, from the next start of a node on
+	Loss float64
 	// Logs keeps the nodes' log lines, for a story that asks for them.
 	Logs []string
 	// Applied is told what each batch of commands took of a node, in real time, if
@@ -324,7 +326,7 @@
 			set.Siblings = append(set.Siblings, s)
 		}
 	}
-	n.Core = core.New(&set, n.w.Policy, fmt.Sprintf("%s.%d", n.Label, n.life), n.w.Debug)
+	n.Core = core.New(&set, n.w.Policy, fmt.Sprintf("%s.%d", n.Label, n.life), Debug)
 	n.started = n.w.Now
 	n.waiting = map[core.RequestID]func(core.Reply){}
 	n.queue, n.woken, n.target = nil, false, ""
