--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -16,6 +16,7 @@
 // now.
 type need struct {
 	soon, due, firm, busy float64
+	solid                 float64 // the share of soon that may not run on cheap machines
 	rush                  map[string]float64
 }
 
@@ -48,6 +49,9 @@
 			soon[s.Team] += cpus
 		}
 		d.soon += cpus
+		if !s.Spot {
+			d.solid += cpus
+		}
 		if s.Kind != wire.KindArray {
 			d.due += cpus // replicas run for ever: their room is never free
 			if !s.Spot {
--- a/internal/core/return.go
+++ b/internal/core/return.go
@@ -52,7 +52,9 @@
 			continue
 		}
 		v, mt := c.orch.rigs.get(h.name), c.types()[h.typ]
-		if h.spot && have-mt.CPUs < enough || !h.spot && (have-mt.CPUs < d.due || have-spot-mt.CPUs < d.firm) {
+		// A cheap machine serves none of the work that may not run on one.
+		want := have-mt.CPUs < enough && (d.solid == 0 || spot-mt.CPUs < enough-d.solid)
+		if h.spot && want || !h.spot && (have-mt.CPUs < d.due || have-spot-mt.CPUs < d.firm) {
 			continue
 		}
 		idle := len(v.tasks) == 0
