--- /dev/null
+++ b/internal/regress/regress.go
@@ -0,0 +1,147 @@
+// Package regress compares what the bench has just measured with what was measured
+// before: it reads the entries that the bench leaves in the journal.
+package regress
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-json"
+)
+
+// Fall is how far a site's figure may fall: a smaller change is noise.
+const Fall = 0.03
+
+// Entry is a run of the bench on one site, as the journal tells it.
+type Entry struct {
+	ID      string       `json:"id"`
+	At      [2]time.Time `json:"at"` // begin and end
+	Command string       `json:"cmd"`
+	Args    []string     `json:"argv"`
+	Site    string       `json:"site"`
+	Score   *float64     `json:"score"` // 0 to 1; nil where the command gives none
+	OK      bool         `json:"ok"`
+	Error   any          `json:"error"`
+	Days    []Day        `json:"days"`
+}
+
+// Day is one simulated day of a run.
+type Day struct {
+	Name     string         `json:"name"`
+	Score    *float64       `json:"score"` // 0 to 1
+	Rules    map[string]any `json:"rules"` // broken rules, and how often
+	Fault    any            `json:"fault"` // why it could not be played, if so
+	Restarts float64        `json:"restarts"`
+}
+
+// Quick reports whether only the roughest days were played.
+func (e *Entry) Quick() bool { return slices.Contains(e.Args, "--quick") }
+
+// Read reads the entries of a journal, oldest first. Files that are not entries are
+// passed over.
+func Read(dir string) ([]Entry, error) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.json"))
+	if err != nil {
+		return nil, err
+	}
+	var out []Entry
+	for _, f := range files {
+		b, err := os.ReadFile(f)
+		if err != nil {
+			return nil, err
+		}
+		var e Entry
+		if err := json.Unmarshal(b, &e); err != nil {
+			return nil, fmt.Errorf("%s: %w", f, err)
+		}
+		if e.Site != "" {
+			out = append(out, e)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Entry) int { return a.At[0].Compare(b.At[0]) })
+	return out, nil
+}
+
+// Row is one line of the verdict.
+type Row struct {
+	Site, Day   string
+	Now, Before *float64
+	Bad         string // why this must not land; empty: it may
+}
+
+// Change is how much a figure has moved; ok is false where there is nothing to compare.
+func (r *Row) Change() (x float64, ok bool) {
+	if r.Now == nil || r.Before == nil {
+		return 0, false
+	}
+	return *r.Now - *r.Before, true
+}
+
+// Judge compares new entries with the newest earlier one of the same site and kind. A
+// site's row comes before those of its days. Only a site's figure may not fall; a day's
+// own is shown, since a single day moves by more than noise allows a site.
+func Judge(before, now []Entry) []Row {
+	var rows []Row
+	for i := range now {
+		e := &now[i]
+		var old *Entry
+		for k := range before {
+			if b := &before[k]; b.Site == e.Site && b.Command == e.Command && b.Quick() == e.Quick() && b.Score != nil {
+				old = b
+			}
+		}
+		site := Row{Site: e.Site, Day: e.Command, Now: e.Score}
+		days := map[string]*float64{}
+		if old != nil {
+			site.Before = old.Score
+			for _, d := range old.Days {
+				days[d.Name] = d.Score
+			}
+		}
+		if change, ok := site.Change(); ok && change < -Fall {
+			site.Bad = fmt.Sprintf("fell by more than %.2f", Fall)
+		}
+		if !e.OK || e.Error != nil {
+			site.Bad = fmt.Sprintf("the run failed: %v", e.Error)
+		}
+		if len(e.Days) == 0 {
+			site.Bad = "no day was played"
+		}
+		rows = append(rows, site)
+		for _, d := range e.Days {
+			rows = append(rows, Row{Site: e.Site, Day: d.Name, Now: d.Score, Before: days[d.Name], Bad: d.bad()})
+		}
+	}
+	return rows
+}
+
+// bad says why a day fails, if so.
+func (d *Day) bad() string {
+	var out []string
+	for _, rule := range sorted(d.Rules) {
+		out = append(out, fmt.Sprintf("broke %s: %v", rule, d.Rules[rule]))
+	}
+	if d.Fault != nil {
+		out = append(out, fmt.Sprintf("failed: %v", d.Fault))
+	}
+	if d.Score != nil && *d.Score == 0 && len(out) == 0 {
+		out = append(out, "is worth nothing")
+	}
+	return strings.Join(out, "; ")
+}
+
+func sorted(m map[string]any) []string {
+	var out []string
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Bad reports whether any row says that this must not land.
+func Bad(rows []Row) bool { return slices.ContainsFunc(rows, func(r Row) bool { return r.Bad != "" }) }
--- /dev/null
+++ b/internal/regress/regress_test.go
@@ -0,0 +1,69 @@
+package regress
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func write(t *testing.T, dir, name, text string) {
+	t.Helper()
+	if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func entry(id, at, args, score, days string) string {
+	return `{"id":"` + id + `","at":["2026-01-0` + at + `T10:00:00Z","2026-01-01T10:01:00Z"],"cmd":"score","argv":[` + args +
+		`],"site":"harbour","ok":true,"error":null,"score":` + score + `,"days":[` + days + `]}`
+}
+
+func day(name, score, rules, fault string) string {
+	return `{"name":"` + name + `","score":` + score + `,"rules":{` + rules + `},"fault":` + fault + `,"restarts":0.0}`
+}
+
+// What has been measured is compared with the newest of its own kind, and a broken
+// rule, a failed day or a fall is found.
+func TestJudge(t *testing.T) {
+	dir := t.TempDir()
+	write(t, dir, "b.json", entry("b", "2", `"x.toml"`, "0.70", day("calm", "0.8", "", "null")))
+	write(t, dir, "a.json", entry("a", "1", `"x.toml"`, "0.90", day("calm", "0.9", "", "null")))
+	write(t, dir, "q.json", entry("q", "3", `"x.toml","--quick"`, "0.60", day("rough", "0.6", "", "null")))
+	before, err := Read(dir)
+	if err != nil || len(before) != 3 || before[0].ID != "a" {
+		t.Fatal(before, err)
+	}
+	for _, c := range []struct{ score, day, bad string }{
+		{"0.671", day("calm", "0.5", "", "null"), ""},
+		{"0.669", day("calm", "0.8", "", "null"), "fell by more than 0.03"},
+		{"0.9", day("calm", "0.8", `"ran_twice":3`, "null"), "broke ran_twice: 3"},
+		{"0.9", day("calm", "0.8", "", `"too slow"`), "failed: too slow"},
+		{"0.9", day("calm", "0", "", "null"), "is worth nothing"},
+		{"0.9", "", "no day was played"},
+	} {
+		fresh := t.TempDir()
+		write(t, fresh, "n.json", entry("n", "4", `"x.toml"`, c.score, c.day))
+		now, err := Read(fresh)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows := Judge(before, now)
+		var said []string
+		for _, r := range rows {
+			if r.Bad != "" {
+				said = append(said, r.Bad)
+			}
+		}
+		if got := strings.Join(said, "|"); got != c.bad || Bad(rows) != (c.bad != "") {
+			t.Errorf("%s %s: %q", c.score, c.day, got)
+		}
+		if *rows[0].Before != 0.7 {
+			t.Errorf("compared with %v", *rows[0].Before)
+		}
+	}
+	write(t, dir, "torn.json", `{"id":`)
+	if _, err := Read(dir); err == nil || !strings.Contains(err.Error(), "torn.json") {
+		t.Fatal(err)
+	}
+}
