An outage of the state service that all controllers see ends no task

Need: an outage longer than a worker's lease ended every task of a site, since each controller fell silent for fear that the others had taken over. Change: package vigil. The leader asks all controllers in rounds whether they are in the same epoch, are not served either, and what cancellations they have told; where all agree, each goes on answering its workers, counted so that it ends before a new owner's own wait does. No take-over waits for it, and where one controller is missing all is as before. Nothing is started meanwhile. Ruled out before: a promise not to take over, which every crash and cut would wait for.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,6 +46,7 @@
 	est      *estimator
 	fleet    *fleet
 	register *register
+	outage   *outage
 }
 
 // times are the spans the rules rest on, as ratios to the settings.
@@ -98,6 +99,7 @@
 	c.fleet = newFleet(c)
 	c.register = &register{c: c}
 	c.orch = newOrchestrator(c)
+	c.outage = newOutage(c)
 	return c
 }
 
@@ -111,6 +113,7 @@
 	}
 	c.runTimers()
 	c.members.react()
+	c.outage.react()
 	c.orch.react()
 	c.fleet.react()
 	c.part.react()
@@ -197,10 +200,17 @@
 }
 
 func (c *Core) peerLine(p PeerLine) {
-	if p.Session == c.part.link {
-		c.part.fromLeader(&p.Message)
-	} else {
-		c.orch.fromPart(p.Session, &p.Message)
+	m := &p.Message
+	switch {
+	case p.Session == c.part.link && m.Ask != nil:
+		c.part.lastRead = c.now.Steady
+		c.outage.asked(m.Epoch, m.Ask)
+	case p.Session == c.part.link:
+		c.part.fromLeader(m)
+	case m.Word != nil:
+		c.orch.word(p.Session, m.Word)
+	default:
+		c.orch.fromPart(p.Session, m)
 	}
 }
 
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -62,6 +62,9 @@
 	loadSent time.Duration // when that left
 	loadAt   time.Duration // when the next page may be asked for
 
+	told     []toldJob // cancellations that this node has told of
+	toldFrom uint64    // all since this revision
+
 	versions map[string]uint64 // of keys other than jobs
 	jobs     map[string]*job   // that are not over
 	ended    *archive
@@ -576,6 +579,7 @@
 		l.commit(guards, l.finalOps(j, rec), func(d CommitDone) {
 			switch {
 			case d.Status == 200:
+				l.tell(ref, d.Answer.Revision)
 				l.c.emit(Reply{ID: id, Status: 200, Body: wire.JobAnswer{ID: ref, State: wire.JobCancelled, Done: j.doneN}})
 			case (d.Status == 409 || d.Status == 0) && tries < 3:
 				l.abort(id, ref, tries+1) // done came first, or the outcome is open: look again
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -83,7 +83,9 @@
 		m.asking = true
 		c.emit(Lease{Lease: m.lease, TTL: c.times.ttl})
 	}
-	ready := m.entitled()
+	// In an outage that all see, users are told at once to come again, by nodes that the
+	// load balancer finds where they were when it is over.
+	ready := m.entitled() || c.outage.holds()
 	if ready != m.readyNow || !m.readySaid {
 		m.readyNow, m.readySaid = ready, true
 		c.emit(Ready{Yes: ready})
@@ -221,6 +223,7 @@
 
 func (m *membership) leased(d LeaseDone) {
 	m.asking = false
+	m.c.outage.refused = d.Status != 200 && d.Status != 404
 	switch d.Status {
 	case 200:
 		if d.Lease != m.lease {
--- /dev/null
+++ b/internal/core/outage.go
@@ -0,0 +1,139 @@
+package core
+
+import (
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/vigil"
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// outage keeps the workers' leases alive through an outage of the state service that all
+// controllers see; package vigil says when that is safe. While it lasts nothing is
+// started, hired or returned, and no user is told anything new: workers are answered, and
+// tasks that may not run any more are stopped.
+//
+// Without it an outage longer than a worker's lease ended every task of a site.
+type outage struct {
+	c       *Core
+	refused bool // the lease was not renewed last time
+	leader  vigil.Leader
+	member  vigil.Member
+	epoch   uint64          // that these speak of
+	void    map[string]bool // jobs that somebody was told are cancelled, our mirror perhaps not
+	holding bool            // as was last said
+}
+
+func newOutage(c *Core) *outage { return &outage{c: c, void: map[string]bool{}} }
+
+// out reports whether the state service does not serve this node.
+func (u *outage) out() bool { return u.refused || u.c.ledger.lost }
+
+// holds reports whether workers may be answered although this node is not entitled.
+func (u *outage) holds() bool {
+	return u.c.ledger.ready && u.epoch > 0 && u.epoch == u.c.members.epoch() && u.c.now.Steady < u.till()
+}
+
+func (u *outage) till() time.Duration {
+	if u.c.members.leading {
+		return u.leader.Till()
+	}
+	return u.member.Till()
+}
+
+// react asks the next round, on the leader, and notes when an outage is over.
+func (u *outage) react() {
+	c := u.c
+	if !c.ledger.ready {
+		return
+	}
+	if e := c.members.epoch(); e != u.epoch {
+		u.epoch, u.leader, u.member = e, vigil.Leader{}, vigil.Member{}
+	}
+	if c.members.entitled() {
+		clear(u.void)
+	}
+	if now := u.holds() && !c.members.entitled(); now != u.holding {
+		u.holding = now
+		if now {
+			c.info("the state service serves no controller, workers are kept alive", "epoch", u.epoch)
+		} else {
+			c.info("workers are no longer kept alive without the state service", "entitled", c.members.entitled())
+		}
+	}
+	if !c.members.leading || !u.out() || u.epoch == 0 || u.epoch != c.orch.epoch {
+		return
+	}
+	labels := []string{c.set.Label}
+	for _, s := range c.set.Siblings {
+		if p := c.orch.parts[s.Label]; p == nil || p.session == 0 {
+			return // without all of them there is no vigil
+		}
+		labels = append(labels, s.Label)
+	}
+	ask, due := u.leader.Next(c.now.Steady, c.times.fresh/8, c.times.fresh, labels)
+	if !due {
+		return
+	}
+	for _, s := range c.set.Siblings {
+		c.emit(PeerSend{Session: c.orch.parts[s.Label].session, Message: wire.PeerMessage{Epoch: u.epoch, Ask: &ask}})
+	}
+	u.heard(c.set.Label, u.word(&ask), labels)
+}
+
+// asked answers the leader's question.
+func (u *outage) asked(epoch uint64, a *vigil.Ask) {
+	c := u.c
+	if !c.ledger.ready || epoch != u.epoch || epoch != c.members.epoch() {
+		return
+	}
+	w := u.word(a)
+	u.member.Answer(c.now.Steady, c.times.fresh, *a)
+	u.cancel(a.Void)
+	c.emit(PeerSend{Session: c.part.link, Message: wire.PeerMessage{Epoch: epoch, Word: &w}})
+}
+
+// word is what this node says in a round.
+func (u *outage) word(a *vigil.Ask) vigil.Word {
+	l := u.c.ledger
+	w := vigil.Word{Round: a.Round, Epoch: u.epoch, Out: u.out(), Revision: l.revision, Loaded: l.loadRev, Since: max(a.Since, l.toldFrom)}
+	for _, t := range l.told {
+		if t.revision > w.Since {
+			w.Cancelled = append(w.Cancelled, t.job)
+		}
+	}
+	return w
+}
+
+// heard takes a controller's word.
+func (u *outage) heard(label string, w vigil.Word, labels []string) {
+	u.leader.Hear(label, w, u.epoch, u.c.times.fresh, labels)
+	u.cancel(u.leader.Void())
+}
+
+// cancel has the tasks of jobs stopped that are cancelled for sure.
+func (u *outage) cancel(jobs []string) {
+	for _, ref := range jobs {
+		if !u.void[ref] {
+			u.void[ref] = true
+			u.c.debugf("cancelled, as another controller has told", "job", ref)
+		}
+	}
+}
+
+// toldJob is a cancellation that this node has told its user of, or is about to.
+type toldJob struct {
+	job      string
+	revision uint64 // of the change
+}
+
+// toldMost is how many of them are remembered; the vigil needs those of the last moments.
+const toldMost = 1024
+
+// tell remembers a cancellation.
+func (l *ledger) tell(job string, revision uint64) {
+	if len(l.told) >= toldMost {
+		l.toldFrom = l.told[0].revision
+		l.told = append(l.told[:0], l.told[1:]...)
+	}
+	l.told = append(l.told, toldJob{job, revision})
+}
--- a/internal/core/pictures.go
+++ b/internal/core/pictures.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chalkhub/chalkhub/internal/vigil"
 	"github.com/chalkhub/chalkhub/internal/wire"
 )
 
@@ -70,6 +71,21 @@
 		o.c.now.Steady-p.heard < 2*o.c.times.report+o.c.times.round
 }
 
+// word takes what a controller says in a round of the vigil.
+func (o *orchestrator) word(session uint64, w *vigil.Word) {
+	label := o.sessions[session]
+	p := o.parts[label]
+	if p == nil || p.session != session || !o.on {
+		return
+	}
+	p.heard = o.c.now.Steady
+	labels := []string{o.c.set.Label}
+	for _, s := range o.c.set.Siblings {
+		labels = append(labels, s.Label)
+	}
+	o.c.outage.heard(label, *w, labels)
+}
+
 func (o *orchestrator) fromPart(session uint64, m *wire.PeerMessage) {
 	label, ok := o.sessions[session]
 	if !ok {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -7,8 +7,9 @@
 )
 
 // commands lists what the machine must do now: kills first, then clears, then
-// starts. doID is that of the /do they go with, 0 for a response to a report.
-func (p *part) commands(r *rig, doID uint64) []wire.Command {
+// starts, if any may go out. doID is that of the /do they go with, 0 for a response to a
+// report.
+func (p *part) commands(r *rig, doID uint64, start bool) []wire.Command {
 	var cmds, clears []wire.Command
 	clearNow := false
 	for _, t := range r.tasks {
@@ -16,7 +17,7 @@
 			continue
 		}
 		j := p.c.ledger.accepted(t.ref)
-		over := j == nil || j.final()
+		over := j == nil || j.final() || p.c.outage.void[t.ref]
 		switch {
 		case t.state == wire.TaskExited:
 			// A completed task is cleared only once that is durable, or a crash
@@ -37,7 +38,7 @@
 	}
 	starts := len(cmds)
 	for _, t := range r.tasks {
-		if t.phase != phaseQueued {
+		if t.phase != phaseQueued || !start {
 			continue
 		}
 		t.token = r.token
@@ -59,7 +60,7 @@
 // command sends what is urgent by /do.
 func (p *part) command(r *rig) {
 	r.urgent = false
-	if cmds := p.commands(r, p.doID+1); len(cmds) > 0 {
+	if cmds := p.commands(r, p.doID+1, true); len(cmds) > 0 {
 		p.do(r, cmds)
 	}
 }
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -10,7 +10,8 @@
 			p.newEpoch(e)
 		}
 	}
-	if !c.members.entitled() || c.ledger.mapRec == nil {
+	entitled := c.members.entitled()
+	if !entitled && !c.outage.holds() || c.ledger.mapRec == nil {
 		c.emit(Reply{ID: id, Status: 503, Body: wire.ErrorAnswer{Error: "not entitled"}})
 		return
 	}
@@ -41,8 +42,10 @@
 	}
 	ans := wire.ReportAnswer{Token: r.token}
 	if newest && r.trusted {
-		p.place()
-		ans.Commands = p.commands(r, 0)
+		if entitled {
+			p.place()
+		}
+		ans.Commands = p.commands(r, 0, entitled)
 	}
 	c.emit(Reply{ID: id, Status: 200, Body: ans})
 }
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -1075,3 +1075,57 @@
 	s.Cloud.Capacity["box"] = 4
 	s.within(300*second, "the job is done", s.Users.AllTold)
 }
+
+// An outage of the state service that all controllers see ends no task, however long it
+// is; a job whose user was told just before it that it is cancelled is stopped all the
+// same, and when it is over the work goes on at once.
+func TestOutageThatAllSeeEndsNoTask(t *testing.T) {
+	for seed := range uint64(6) {
+		s := begin(t, 520+seed)
+		long, gone := s.Users.Submit(fake.Array(12), 150), s.Users.Submit(fake.Array(6), 300)
+		s.within(60*second, "all tasks run", func() bool { return s.Users.Running() == 18 })
+		s.Users.Abort(gone)
+		s.within(second, "its user is told", func() bool { return gone.Told == wire.JobCancelled })
+		s.State.Outage(70 * second) // the others have not seen it
+		s.Run(s.Now + 12*second)
+		if n := gone.Running(); n > 0 {
+			t.Fatalf("%d tasks of the cancelled job run", n)
+		}
+		least := 12
+		for range 56 {
+			s.Run(s.Now + second)
+			least = min(least, long.Running())
+		}
+		if least < 12 {
+			t.Fatalf("%d of 12 tasks were left", least)
+		}
+		s.rules()
+		s.within(120*second, "the job is done", func() bool { return long.Told == wire.JobDone })
+	}
+}
+
+// Where one controller is away, or is served while the others are not, the vigil is none:
+// nobody may go on.
+func TestNoVigilWithoutAll(t *testing.T) {
+	for away := range 2 {
+		s := begin(t, 530+uint64(away))
+		j := s.Users.Submit(fake.Array(12), 150)
+		s.within(60*second, "all tasks run", func() bool { return j.Running() == 12 })
+		one := s.follower()
+		if away == 1 {
+			one.Crash(0)
+			s.State.Outage(60 * second)
+		} else {
+			for _, n := range s.Nodes {
+				s.State.Refuses[n.Label] = n != one
+			}
+		}
+		s.Logs = nil
+		s.Run(s.Now + 30*second)
+		if s.said("workers are kept alive") {
+			t.Fatal("a vigil was kept")
+		}
+		s.State.Refuses = map[string]bool{}
+		s.within(500*second, "the job is done", s.Users.AllTold)
+	}
+}
--- a/internal/regress/regress.go
+++ b/internal/regress/regress.go
@@ -8,7 +8,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/goccy/go-json"
 )
@@ -18,15 +17,15 @@
 
 // Entry is a run of the bench on one site, as the journal tells it.
 type Entry struct {
-	ID      string       `json:"id"`
-	At      [2]time.Time `json:"at"` // begin and end
-	Command string       `json:"cmd"`
-	Args    []string     `json:"argv"`
-	Site    string       `json:"site"`
-	Score   *float64     `json:"score"` // 0 to 1; nil where the command gives none
-	OK      bool         `json:"ok"`
-	Error   any          `json:"error"`
-	Days    []Day        `json:"days"`
+	ID      string    `json:"id"`
+	At      [2]string `json:"at"` // begin and end, in UTC; no end if it was ended by hand
+	Command string    `json:"cmd"`
+	Args    []string  `json:"argv"`
+	Site    string    `json:"site"`
+	Score   *float64  `json:"score"` // 0 to 1; nil where the command gives none
+	OK      bool      `json:"ok"`
+	Error   any       `json:"error"`
+	Days    []Day     `json:"days"`
 }
 
 // Day is one simulated day of a run.
@@ -62,7 +61,7 @@
 			out = append(out, e)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b Entry) int { return a.At[0].Compare(b.At[0]) })
+	slices.SortStableFunc(out, func(a, b Entry) int { return strings.Compare(a.At[0], b.At[0]) })
 	return out, nil
 }
 
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -1,5 +1,7 @@
 package wire
 
+import "github.com/chalkhub/chalkhub/internal/vigil"
+
 // PeerMessage is one line of the peer link. A member dials the leader, says
 // Hello, sends its whole picture and then what changes; the leader sends
 // dispatches. Each message carries the epoch it belongs to: one from another
@@ -17,6 +19,7 @@
 	Returned []TaskTry      `json:"returned,omitempty"` // could not be placed
 	Dropped  []string       `json:"dropped,omitempty"`  // machines it no longer looks after
 	Unfit    bool           `json:"unfit,omitempty"`    // reaches no worker
+	Word     *vigil.Word    `json:"word,omitempty"`     // alone in its message
 
 	Dispatch []TaskTry  `json:"dispatch,omitempty"`
 	Stop     []TaskStop `json:"stop,omitempty"`
@@ -27,6 +30,7 @@
 	Reopen   []string   `json:"reopen,omitempty"` // machines that get them again
 	Views    []JobView  `json:"views,omitempty"`
 	Resync   bool       `json:"resync,omitempty"` // the whole picture again, please
+	Ask      *vigil.Ask `json:"ask,omitempty"`    // alone in its message
 }
 
 // pieceSize is how many machines and tasks one message tells of, at the most, but for
