Idle connections to workers are closed before there are too many

Cause: a connection is kept to each worker that was called in the last 20 s; with some thousand machines to a controller these and the workers' own pass the limit of sockets, and then neither users nor workers connect. Change: a quarter of the sockets for calls to workers; idle ones go first.

--- a/cmd/chalkhub/main.go
+++ b/cmd/chalkhub/main.go
@@ -128,7 +128,7 @@
 	out := engine.Outside{
 		State:  state.New(set.External.State, time.Second, e.Clock),
 		Cloud:  cloud.New(set.External.Cloud),
-		Worker: worker.New(report),
+		Worker: worker.New(set.Site.Resources.MaxSockets/4, report),
 		Peer:   links,
 	}
 	e.Connect(out)
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -4,6 +4,8 @@
 
 import (
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -14,12 +16,34 @@
 // Client calls any number of hosts.
 type Client struct {
 	http *fasthttp.Client
+	most int64 // connections that may be open before the idle ones are closed, 0: any
+	open atomic.Int64
 }
 
-// New makes a client with at most conns connections to one host.
-func New(conns int, dial time.Duration) *Client {
+// conn is a connection that is counted.
+type conn struct {
+	net.Conn
+	once sync.Once
+	open *atomic.Int64
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// New makes a client with at most conns connections to one host, for calls to few hosts.
+func New(conns int, dial time.Duration) *Client { return NewMany(conns, 0, dial) }
+
+// NewMany makes a client for calls to many hosts: once most connections are open, idle
+// ones are closed before another is opened.
+//
+// Guards the process's sockets: a connection is kept to each worker that was called
+// lately, and with a few thousand of them no user or worker could connect any more.
+func NewMany(conns, most int, dial time.Duration) *Client {
 	d := &net.Dialer{Timeout: dial}
-	return &Client{http: &fasthttp.Client{
+	c := &Client{most: int64(most)}
+	c.http = &fasthttp.Client{
 		Name:                          "chalkhub",
 		MaxConnsPerHost:               conns,
 		MaxIdleConnDuration:           20 * time.Second,
@@ -32,10 +56,24 @@
 		// for, so a broken connection is an open outcome, not another try.
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial:                      func(addr string) (net.Conn, error) { return d.Dial("tcp4", addr) },
-	}}
+		Dial: func(addr string) (net.Conn, error) {
+			if c.most > 0 && c.open.Load() >= c.most {
+				c.http.CloseIdleConnections()
+			}
+			x, err := d.Dial("tcp4", addr)
+			if err != nil {
+				return nil, err
+			}
+			c.open.Add(1)
+			return &conn{Conn: x, open: &c.open}, nil
+		},
+	}
+	return c
 }
 
+// Open is how many connections are open.
+func (c *Client) Open() int64 { return c.open.Load() }
+
 // Call sends one request. Status 0 means that no whole answer came. The answer
 // is decoded into out if the status is among ok.
 func (c *Client) Call(method, host, path string, body, out any, timeout time.Duration, ok ...int) int {
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -14,9 +14,10 @@
 	timeout time.Duration
 }
 
-// New makes a client; timeout bounds a call.
-func New(timeout time.Duration) *Client {
-	return &Client{rpc: rpc.New(2, timeout), timeout: timeout}
+// New makes a client that keeps about as many connections open, to all workers together;
+// timeout bounds a call.
+func New(conns int, timeout time.Duration) *Client {
+	return &Client{rpc: rpc.NewMany(2, conns, timeout), timeout: timeout}
 }
 
 // Inspect asks a worker for its report.
