Jobs that come in the same moment are accepted with one write

Change: within its share of the changes a submission has a key of its own as before; those that would have to wait share one, guarded by the absence of each job's own key. The leader deletes it once all its jobs have their own.

--- a/internal/core/archive.go
+++ b/internal/core/archive.go
@@ -65,7 +65,7 @@
 	if !ok {
 		return nil
 	}
-	j := &job{version: e.version}
+	j := &job{version: e.version, key: e.version}
 	j.rec = wire.JobRecord{Spec: a.kinds[e.kind], State: wire.JobCancelled, At: float64(e.at), Bad: a.reasons[e.reason]}
 	j.rec.Spec.ID, j.rec.Spec.Tasks = id, int(e.tasks)
 	if e.done {
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -310,7 +310,7 @@
 	rec := q.j.rec
 	rec.Zones = zones[:need]
 	q.choosing = true
-	guards := []wire.Guard{o.c.members.leaderGuard(), {Key: keyJob + q.id, Version: q.j.version}}
+	guards := []wire.Guard{o.c.members.leaderGuard(), {Key: keyJob + q.id, Version: q.j.key}}
 	o.c.ledger.commit(guards, []wire.Op{{Put: keyJob + q.id, Value: rec}}, func(CommitDone) {
 		o.c.ledger.barrier(func(bool) { q.choosing = false })
 	})
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -16,6 +16,7 @@
 	keyEstimate = "c/est"
 	keyJob      = "c/job/"
 	keyLeader   = "c/leader"
+	keyLot      = "c/accepted/" // read before the jobs' own keys
 	keyMap      = "c/map"
 	keyNode     = "c/node/"
 	keyProgress = "c/prog/"
@@ -33,7 +34,8 @@
 // job is a job in the mirror.
 type job struct {
 	rec     wire.JobRecord
-	version uint64
+	version uint64         // of what the mirror holds of it, 0: it is not accepted
+	key     uint64         // of its own key, 0: there is none yet
 	done    []wire.TaskSet // by block
 	doneN   int
 	blocks  map[int]uint64 // versions of the progress keys
@@ -68,6 +70,7 @@
 	versions map[string]uint64 // of keys other than jobs
 	jobs     map[string]*job   // that are not over
 	ended    *archive
+	lots     *lots
 	nodes    map[string]wire.NodeRecord
 	leader   *wire.LeaderRecord
 	mapRec   *wire.MapRecord
@@ -87,7 +90,7 @@
 }
 
 func newLedger(c *Core) *ledger {
-	l := &ledger{c: c, commits: map[uint64]func(CommitDone){}}
+	l := &ledger{c: c, commits: map[uint64]func(CommitDone){}, lots: newLots(c)}
 	l.reset() // a worker's report may come before the first page
 	return l
 }
@@ -95,6 +98,7 @@
 func (l *ledger) reset() {
 	l.versions = map[string]uint64{}
 	l.jobs, l.ended = map[string]*job{}, newArchive()
+	clear(l.lots.known)
 	l.nodes = map[string]wire.NodeRecord{}
 	l.leader, l.mapRec, l.estimate = nil, nil, nil
 	l.machines, l.shelves = newIndex[*wire.MachineRecord](), newIndex[[]string]()
@@ -300,7 +304,7 @@
 				return
 			}
 			over := !j.final() && rec.State != wire.JobQueued
-			j.rec, j.version = rec, version
+			j.rec, j.version, j.key = rec, version, version
 			if j.final() {
 				if rec.State == wire.JobDone {
 					j.doneN = rec.Spec.Tasks
@@ -316,6 +320,8 @@
 		}
 		l.report(key, err)
 		return
+	case strings.HasPrefix(key, keyLot):
+		err = l.lots.put(key, value, version)
 	case strings.HasPrefix(key, keyProgress):
 		err = l.putProgress(key[len(keyProgress):], value, version)
 	case strings.HasPrefix(key, keyNode):
@@ -408,6 +414,8 @@
 	switch {
 	case strings.HasPrefix(key, keyNode):
 		delete(l.nodes, key[len(keyNode):])
+	case strings.HasPrefix(key, keyLot):
+		delete(l.lots.known, key)
 	case strings.HasPrefix(key, keyMachines):
 		l.removeMachines(key[len(keyMachines):])
 	case strings.HasPrefix(key, keyProgress):
@@ -497,30 +505,45 @@
 	}
 	key := keyJob + spec.ID
 	rec := wire.JobRecord{Spec: spec, State: wire.JobQueued, At: l.c.now.Wall}
+	if !l.lots.alone() {
+		l.lots.add(id, rec)
+		return
+	}
 	l.commit([]wire.Guard{{Key: key}}, []wire.Op{{Put: key, Value: rec}}, func(d CommitDone) {
 		switch d.Status {
 		case 200:
-			l.c.debugf("accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "urgency", spec.Urgency,
-				"tasks", spec.Tasks, "cpus", spec.CPUs, "estimate", spec.EstimateS, "checkpoint", spec.CheckpointS)
-			l.c.emit(Reply{ID: id, Status: 201, Body: wire.JobAnswer{ID: spec.ID, State: wire.JobQueued}})
+			l.welcome(id, &spec)
 		case 409:
 			l.known(id, spec.ID) // another node was first, or an earlier try of ours
 		case 0:
 			// The transaction may have been applied, or may be later. If it has
 			// been, say so; if not, 503 promises nothing either way.
-			l.barrier(func(ok bool) {
-				if j := l.accepted(spec.ID); ok && j != nil {
-					l.answer(id, 200, j)
-				} else {
-					l.later(id, "the state service does not answer")
-				}
-			})
+			l.barrier(func(ok bool) { l.uncertain(id, spec.ID, ok) })
+		case 429:
+			l.lots.tokens = 0
+			l.lots.add(id, rec) // once more, with others
 		default:
 			l.later(id, "the state service is busy")
 		}
 	})
 }
 
+// welcome tells a user that a job is accepted.
+func (l *ledger) welcome(id RequestID, s *wire.Job) {
+	l.c.debugf("accepted", "job", s.ID, "class", s.Class, "team", s.Team, "urgency", s.Urgency,
+		"tasks", s.Tasks, "cpus", s.CPUs, "estimate", s.EstimateS, "checkpoint", s.CheckpointS)
+	l.c.emit(Reply{ID: id, Status: 201, Body: wire.JobAnswer{ID: s.ID, State: wire.JobQueued}})
+}
+
+// uncertain answers a submission whose write had no answer, once the mirror has been read.
+func (l *ledger) uncertain(id RequestID, ref string, ok bool) {
+	if j := l.accepted(ref); ok && j != nil {
+		l.answer(id, 200, j)
+	} else {
+		l.later(id, "the state service does not answer")
+	}
+}
+
 // impossible says why a job can never run, if so.
 func (l *ledger) impossible(j *wire.Job) string {
 	team := l.c.team(j.Team)
@@ -575,7 +598,7 @@
 			return
 		}
 		rec := finalRecord(j, wire.JobCancelled, "cancelled by its user")
-		guards := []wire.Guard{{Key: keyJob + ref, Version: j.version}}
+		guards := []wire.Guard{{Key: keyJob + ref, Version: j.key}}
 		l.commit(guards, l.finalOps(j, rec), func(d CommitDone) {
 			switch {
 			case d.Status == 200:
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -228,6 +228,7 @@
 			o.lastRound = o.c.now.Steady
 			o.c.fleet.want(ranked, waiting)
 			o.c.est.save()
+			o.c.ledger.lots.sweep()
 			o.tell()
 		}
 	}
--- a/internal/core/progress.go
+++ b/internal/core/progress.go
@@ -42,7 +42,7 @@
 func (o *orchestrator) end(q *queued) {
 	q.ending = true
 	j := q.j
-	guards := []wire.Guard{o.c.members.leaderGuard(), {Key: keyJob + q.id, Version: j.version}}
+	guards := []wire.Guard{o.c.members.leaderGuard(), {Key: keyJob + q.id, Version: j.key}}
 	o.c.ledger.commit(guards, o.c.ledger.finalOps(j, finalRecord(j, wire.JobDone, "")), func(d CommitDone) {
 		o.c.ledger.lookAgain(d.Status == 200 || d.Status == 409, o.c.times.round/4, func() { q.ending = false })
 	})
@@ -63,7 +63,7 @@
 	// The guard on the job's key keeps progress from outliving the job, those on
 	// the blocks keep a write that is applied late from taking back what a later
 	// one has added: a task was once missing from both and never started again.
-	guards := []wire.Guard{o.c.members.leaderGuard(), {Key: keyJob + q.id, Version: q.j.version}}
+	guards := []wire.Guard{o.c.members.leaderGuard(), {Key: keyJob + q.id, Version: q.j.key}}
 	var ops []wire.Op
 	for b := range wire.MaxTasks/progressBlock + 1 {
 		if s := sets[b]; s != nil && len(ops) < o.c.txnOps() {
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -1129,3 +1129,44 @@
 		s.within(500*second, "the job is done", s.Users.AllTold)
 	}
 }
+
+// Many who submit at once share writes: all are accepted within a second or two at a
+// state service of ten changes a second, whatever node they ask and however often, and
+// what they share is gone when their jobs are over.
+func TestManySubmitAtOnce(t *testing.T) {
+	set := fake.Settings(3)
+	set.Site.State.WriteRPS = 10
+	s := &story{World: fake.Build(54, set, fake.Types()), t: t}
+	for range 8 {
+		s.Cloud.Add("barn", "a", true)
+	}
+	s.Run(s.Now + 5*second)
+	writes := s.State.Writes
+	var jobs []*fake.Job
+	for i := range 120 {
+		spec := fake.Array(1)
+		spec.OneZone = i%9 == 0
+		jobs = append(jobs, s.Users.Submit(spec, 5))
+		if i%3 == 0 {
+			s.Users.Resubmit(jobs[i]) // at another node, at the same time
+		}
+	}
+	all := func() bool { return !slices.ContainsFunc(jobs, func(j *fake.Job) bool { return !j.Accepted }) }
+	s.within(4*second, "all are accepted", all)
+	if n := s.State.Writes - writes; n > 40 {
+		t.Fatalf("%d writes for 120 jobs", n)
+	}
+	s.Users.Abort(jobs[7])
+	s.Users.Abort(jobs[18])
+	s.leader().Crash(2 * second)
+	for _, j := range jobs[:20] {
+		s.Users.Resubmit(j)
+	}
+	s.within(200*second, "every job is over", s.Users.AllTold)
+	s.within(60*second, "the shared keys are gone", func() bool { return s.State.Count("c/accepted/") == 0 })
+	for _, j := range jobs {
+		s.Users.Resubmit(j) // the answer is its state, however late
+	}
+	s.Run(s.Now + 20*second)
+	s.rules()
+}
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -336,3 +336,13 @@
 	s.log = append(s.log, wire.Event{Delete: key, Version: s.rev})
 	s.wake()
 }
+
+// Count counts the keys with a prefix.
+func (s *State) Count(prefix string) (n int) {
+	for k := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -17,6 +17,11 @@
 	Bad   string   `msgpack:"why,omitempty"`   // why the job was stopped
 }
 
+// LotRecord holds jobs that were accepted together.
+type LotRecord struct {
+	Jobs []JobRecord `msgpack:"jobs"`
+}
+
 // ProgressRecord holds the completed tasks of one block of a job.
 type ProgressRecord struct {
 	Bits string `msgpack:"bits"`
