--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -32,6 +32,7 @@
 	times  times
 	debug  bool
 	guests map[string]bool // teams without a guarantee where others have one
+	labels []string        // of all controllers of the site, this one first
 
 	now     Now
 	out     []Effect
@@ -92,6 +93,10 @@
 // New makes the core of a controller. boot must differ in every process.
 func New(set *config.Settings, policy config.Policy, boot string, debug bool) *Core {
 	c := &Core{set: set, policy: policy, boot: boot, debug: debug, times: newTimes(set), guests: guestTeams(set.Site.Teams)}
+	c.labels = []string{set.Label}
+	for _, s := range set.Siblings {
+		c.labels = append(c.labels, s.Label)
+	}
 	c.ledger = newLedger(c)
 	c.members = newMembership(c)
 	c.part = newPart(c)
--- a/internal/core/fence.go
+++ b/internal/core/fence.go
@@ -40,7 +40,10 @@
 		r.tasks = nil
 		p.mark(r)
 	}
-	if silent := c.now.Steady-r.heard > c.times.lease/2; silent != r.silent {
+	// One that has let two questions pass after a change of the map most likely is
+	// dead, and holds up all that may be running on it.
+	mute := !r.trusted && r.unanswered >= 2
+	if silent := mute || c.now.Steady-r.heard > c.times.lease/2; silent != r.silent {
 		r.silent = silent
 		p.mark(r)
 	}
@@ -109,12 +112,12 @@
 	defer p.tend(r)
 	switch d.Status {
 	case 200:
-		r.heard = c.now.Steady
+		r.heard, r.unanswered = c.now.Steady, 0
 		p.read(r, &d.Report, d.ID, false)
 	case 409:
 		// Nothing was executed. A higher token than ours means that a newer map
 		// is on its way to us.
-		r.heard = c.now.Steady
+		r.heard, r.unanswered = c.now.Steady, 0
 		again := d.Report.Session != r.session && d.Report.Token <= r.token
 		p.dropDirect(r, d.ID)
 		p.read(r, &d.Report, d.ID, false)
@@ -133,7 +136,11 @@
 				break
 			}
 		}
+		r.unanswered++
 		r.askAgain = c.now.Steady + c.times.report
+		if !r.trusted {
+			r.askAgain = c.now.Steady + c.times.report/8
+		}
 	}
 }
 
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -143,11 +143,7 @@
 		return
 	}
 	m.watched = rec
-	labels := []string{m.c.set.Label}
-	for _, s := range m.c.set.Siblings {
-		labels = append(labels, s.Label)
-	}
-	for _, label := range labels {
+	for _, label := range m.c.labels {
 		_, in := rec.Members[label]
 		since, was := m.away[label]
 		switch {
--- a/internal/core/outage.go
+++ b/internal/core/outage.go
@@ -63,21 +63,20 @@
 	if !c.members.leading || !u.out() || u.epoch == 0 || u.epoch != c.orch.epoch {
 		return
 	}
-	labels := []string{c.set.Label}
-	for _, s := range c.set.Siblings {
-		if p := c.orch.parts[s.Label]; p == nil || p.session == 0 {
+	others := c.labels[1:]
+	for _, label := range others {
+		if p := c.orch.parts[label]; p == nil || p.session == 0 {
 			return // without all of them there is no vigil
 		}
-		labels = append(labels, s.Label)
 	}
-	ask, due := u.leader.Next(c.now.Steady, c.times.fresh/8, c.times.fresh, labels)
+	ask, due := u.leader.Next(c.now.Steady, c.times.fresh/8, c.times.fresh)
 	if !due {
 		return
 	}
-	for _, s := range c.set.Siblings {
-		c.emit(PeerSend{Session: c.orch.parts[s.Label].session, Message: wire.PeerMessage{Epoch: u.epoch, Ask: &ask}})
+	for _, label := range others {
+		c.emit(PeerSend{Session: c.orch.parts[label].session, Message: wire.PeerMessage{Epoch: u.epoch, Ask: &ask}})
 	}
-	u.heard(c.set.Label, u.word(&ask), labels)
+	u.heard(c.set.Label, u.word(&ask))
 }
 
 // asked answers the leader's question.
@@ -105,8 +104,8 @@
 }
 
 // heard takes a controller's word.
-func (u *outage) heard(label string, w vigil.Word, labels []string) {
-	u.leader.Hear(label, w, u.epoch, u.c.times.fresh, labels)
+func (u *outage) heard(label string, w vigil.Word) {
+	u.leader.Hear(label, w, u.epoch, u.c.times.fresh, u.c.labels)
 	u.cancel(u.leader.Void())
 }
 
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -177,7 +177,7 @@
 		r.kept = stayed && (r.trusted || r.kept)
 		r.token = e << tokenBits
 		r.trusted = false
-		r.asking, r.askAgain = 0, 0
+		r.asking, r.askAgain, r.unanswered = 0, 0, 0
 		r.draining, r.closing = false, false
 		p.keep(r, func(t *placed) bool { return t.phase > phaseQueued })
 		if !(stayed && r.lapsed) {
--- a/internal/core/pictures.go
+++ b/internal/core/pictures.go
@@ -79,11 +79,7 @@
 		return
 	}
 	p.heard = o.c.now.Steady
-	labels := []string{o.c.set.Label}
-	for _, s := range o.c.set.Siblings {
-		labels = append(labels, s.Label)
-	}
-	o.c.outage.heard(label, *w, labels)
+	o.c.outage.heard(label, *w)
 }
 
 func (o *orchestrator) fromPart(session uint64, m *wire.PeerMessage) {
--- a/internal/core/placed.go
+++ b/internal/core/placed.go
@@ -53,7 +53,8 @@
 	kept         bool   // it was trusted in the last epoch, and ours then too
 	answered     time.Duration
 	heard        time.Duration
-	silent       bool // not heard for half a lease
+	unanswered   int  // calls in a row that it let pass
+	silent       bool // not heard for half a lease, or mute after a change of the map
 	lapsed       bool // silent for so long that its worker has dropped everything
 	notice       bool
 	draining     bool
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -33,6 +33,7 @@
 	}
 	newest := rep.Newer(r.session, r.seq)
 	r.heard, r.answered = c.now.Steady, max(r.answered, c.now.Steady)
+	r.unanswered = 0
 	if r.silent {
 		r.silent = false
 		p.mark(r)
--- a/internal/core/return.go
+++ b/internal/core/return.go
@@ -139,11 +139,14 @@
 			// again; once the cloud has deleted it they are surely gone.
 			f.retire(h, "dead")
 			h.force = true
-		case v != nil && !v.state.Sure && v.state.Silent && c.now.Steady-v.doubtAt > 3*c.times.report && f.seenElsewhere(v):
+		case v != nil && !v.state.Sure && v.state.Silent && c.now.Steady-v.doubtAt > max(c.times.report, c.times.lease/5) && f.seenElsewhere(v):
 			// After a change of the map, the last machines that do not answer
 			// hold up everything that may be running on them. Each has its own
 			// time to answer: counted from the change of the map alone, a quarter
 			// of the machines that came up later were deleted at their first word.
+			// Among a thousand cheap machines there nearly always is one that was
+			// taken without a word: three report periods were 15 to 18 s in which
+			// no earlier job started anything, at each change of leader.
 			f.retire(h, "does not answer")
 			h.force = true
 		}
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -676,15 +676,8 @@
 	for _, n := range s.Nodes {
 		n.Crash(2 * second)
 	}
-	s.within(15*second, "every machine is seen or gone", func() bool {
-		n := 0
-		for _, l := range s.Logs {
-			if strings.Contains(l, "every machine has been seen") {
-				n++
-			}
-		}
-		return n > 0
-	})
+	s.Logs = nil
+	s.within(9*second, "every machine is seen or gone", func() bool { return s.said("every machine has been seen") })
 	s.within(300*second, "every job is done", s.Users.AllTold)
 }
 
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -463,7 +463,11 @@
 			reply(core.LeaseDone{Sent: sent, Lease: id, Status: status})
 		}, func(d core.LeaseDone) { mine(func() { post(d) })() }, mine(func() { post(core.LeaseDone{Sent: sent}) }))
 	case core.Do:
-		call(w, n.Label, e.Machine, config.Seconds(w.Set.Site.Workers.ReportS), func(reply func(core.DoDone)) {
+		patience := config.Seconds(w.Set.Site.Workers.ReportS)
+		if len(e.Body.Commands) == 0 {
+			patience /= 4
+		}
+		call(w, n.Label, e.Machine, patience, func(reply func(core.DoDone)) {
 			if k := w.Workers[e.Machine]; k != nil {
 				k.do(e.Body, func(status int, r wire.Report) {
 					reply(core.DoDone{Machine: e.Machine, ID: e.ID, Status: status, Report: r})
--- a/internal/vigil/vigil.go
+++ b/internal/vigil/vigil.go
@@ -54,8 +54,8 @@
 }
 
 // Next is the question to be asked now, if one is due: every has passed since the last,
-// and all have answered that or never will. labels are all controllers, the leader too.
-func (l *Leader) Next(now, every, span time.Duration, labels []string) (Ask, bool) {
+// and all have answered that or never will.
+func (l *Leader) Next(now, every, span time.Duration) (Ask, bool) {
 	switch {
 	case l.round == 0 || l.done && now-l.asked >= every:
 		l.round++
@@ -70,7 +70,8 @@
 	return Ask{Round: l.round, Since: l.since, Agreed: l.agreed, Void: l.void}, true
 }
 
-// Hear takes a controller's word. epoch is the leader's own.
+// Hear takes a controller's word. epoch is the leader's own; labels are all controllers,
+// the leader too.
 func (l *Leader) Hear(label string, w Word, epoch uint64, span time.Duration, labels []string) {
 	if w.Round != l.round || l.done {
 		return
--- a/internal/vigil/vigil_test.go
+++ b/internal/vigil/vigil_test.go
@@ -30,7 +30,7 @@
 func rounds(n int, f func(round uint64) Word) (l Leader, m Member) {
 	labels := []string{"a", "b", "c"}
 	for now := time.Duration(0); n > 0; now += every {
-		a, ok := l.Next(now, every, span, labels)
+		a, ok := l.Next(now, every, span)
 		if !ok {
 			continue
 		}
@@ -115,7 +115,7 @@
 			return w
 		}
 		for now := time.Duration(0); now < 6*time.Second; now += 10 * time.Millisecond {
-			if a, ok := l.Next(now, every, span, labels); ok {
+			if a, ok := l.Next(now, every, span); ok {
 				l.Hear(labels[0], says(labels[0], now, a.Round), 5, span, labels)
 				for _, x := range labels[1:] {
 					if rapid.IntRange(0, 19).Draw(rt, "lost") != 7 {
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -29,6 +29,10 @@
 // Do sends commands to a worker.
 func (c *Client) Do(e core.Do) core.DoDone {
 	d := core.DoDone{Machine: e.Machine, ID: e.ID}
-	d.Status = c.rpc.Call("POST", e.Addr, "/do", e.Body, &d.Report, c.timeout, 200, 409)
+	timeout := c.timeout
+	if len(e.Body.Commands) == 0 {
+		timeout /= 4 // only a question, which may be asked again
+	}
+	d.Status = c.rpc.Call("POST", e.Addr, "/do", e.Body, &d.Report, timeout, 200, 409)
 	return d
 }
