Connections to workers are given up after a quarter of a report period

Cause: a call's timeout does not end a connection attempt that hangs, so a question to a dead machine took 5 s instead of 1.25: two of them held up a take-over for 11 s.

--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -17,7 +17,9 @@
 // New makes a client that keeps about as many connections open, to all workers together;
 // timeout bounds a call.
 func New(conns int, timeout time.Duration) *Client {
-	return &Client{rpc: rpc.NewMany(2, conns, timeout), timeout: timeout}
+	// A machine that is there takes a connection within milliseconds; one that is dead
+	// leaves it hanging, whatever the call's own timeout.
+	return &Client{rpc: rpc.NewMany(2, conns, timeout/4), timeout: timeout}
 }
 
 // Inspect asks a worker for its report.
