--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -35,7 +35,8 @@
 	aborting  bool
 	Cancelled time.Duration // when its user was told
 	done      map[int]bool
-	on        map[string]string // task -> machine
+	saved     map[int]time.Duration // how much of its run a task has saved
+	on        map[string]string     // task -> machine
 }
 
 func newUsers(w *World) *Users {
@@ -55,7 +56,7 @@
 	if spec.ID == "" {
 		spec.ID = fmt.Sprintf("job-%06d", u.next)
 	}
-	j := &Job{Spec: spec, RunS: runS, done: map[int]bool{}, on: map[string]string{}}
+	j := &Job{Spec: spec, RunS: runS, done: map[int]bool{}, saved: map[int]time.Duration{}, on: map[string]string{}}
 	u.jobs[spec.ID] = j
 	u.send(j)
 	return j
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -40,6 +40,7 @@
 	Saved   bool
 	job     *Job
 	index   int
+	began   time.Duration // when it began to run
 }
 
 // on reports whether the task counts as being on its machine.
@@ -273,7 +274,8 @@
 		t.State = wire.TaskRunning
 		u.arrived(k, t)
 		k.changed()
-		run := config.Seconds(t.job.RunS * max(k.Slow, 1))
+		t.began = k.w.Now
+		run := config.Seconds(t.job.RunS*max(k.Slow, 1)) - t.job.saved[t.index]
 		if t.job.done[t.index] {
 			run = 0
 		}
@@ -318,6 +320,15 @@
 		return
 	}
 	k.w.Users.left(k, t)
+	if t.job != nil && t.began > 0 && why == wire.WhyStopped {
+		ran := k.w.Now - t.began
+		if step := config.Seconds(t.job.Spec.CheckpointS); step <= 0 {
+			ran = 0
+		} else if !t.Saved {
+			ran = ran / step * step
+		}
+		t.job.saved[t.index] += ran
+	}
 	t.State, t.Why = wire.TaskExited, why
 	if why == wire.WhyDone && t.job != nil {
 		t.job.done[t.index] = true
