--- a/internal/core/return.go
+++ b/internal/core/return.go
@@ -46,7 +46,7 @@
 		return up[a].load < up[b].load
 	})
 	enough := max(d.soon, d.busy)
-	waiting = slices.DeleteFunc(slices.Clone(waiting), func(q *queued) bool { return !picky(q) })
+	waiting = slices.DeleteFunc(slices.Clone(waiting), func(q *queued) bool { return !f.picky(q) })
 	for _, h := range up {
 		if f.claimed(h, waiting) {
 			continue
@@ -77,10 +77,22 @@
 	f.moveOff(up)
 }
 
-// picky reports whether few machines can serve a job, or it needs many at once.
-func picky(q *queued) bool {
+// picky reports whether few machines can serve a job, or it needs many at once, or no
+// cheap one can: the ordinary machine that was hired for a job without an aim was parked,
+// and returned for a new one, for ever, where nothing is rented cheap.
+func (f *fleet) picky(q *queued) bool {
 	s := &q.j.rec.Spec
-	return len(s.Types) > 0 || s.Zone != "" || s.OneZone || s.Spread || !s.Spot || s.Kind == wire.KindGang
+	return len(s.Types) > 0 || s.Zone != "" || s.OneZone || s.Spread || !s.Spot || s.Kind == wire.KindGang || !f.cheap(s)
+}
+
+// cheap reports whether a machine type that holds a task is rented cheap.
+func (f *fleet) cheap(s *wire.Job) bool {
+	for _, mt := range f.c.types() {
+		if mt.SpotPrice > 0 && allows(s, mt.Name) && holds(mt, s) {
+			return true
+		}
+	}
+	return false
 }
 
 // claimed reports whether a waiting job that few machines can serve, or that
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -1163,3 +1163,15 @@
 	s.Run(s.Now + 20*second)
 	s.rules()
 }
+
+// Where nothing is rented cheap, work without an aim keeps the ordinary machine that was
+// hired for it: it was parked after its first task, and returned for a new one.
+func TestWorkWithoutAnAimWhereNothingIsCheap(t *testing.T) {
+	types := fake.Types()[:1]
+	types[0].SpotPrice = 0
+	s := &story{World: fake.Build(55, fake.Settings(3), types), t: t}
+	spec := fake.Array(20)
+	spec.CPUs = 4
+	s.Users.Submit(spec, 5)
+	s.within(250*second, "the job is done", s.Users.AllTold)
+}
