Machines told of before their type, and the zone of a spread job that has room, are used

Change: the leader looks a missing type up each round; a picture that names none is asked for whole; a spread job's tasks are held up zone by zone.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -109,6 +109,7 @@
 	// Counted once: counting anew for each task of a huge job took the round's
 	// whole share of the processor.
 	left := q.waiting()
+	full := make([]bool, max(len(q.j.rec.Zones), 1)) // zones of a spread job
 	q.low = q.next(q.low)
 	for i := q.low; i < s.Tasks && sent < left; i = q.next(i + 1) {
 		if q.hold[i] > c.now.Steady {
@@ -139,6 +140,12 @@
 				m = fitting[at]
 			}
 		}
+		if m == nil && s.Spread && !full[(i+1)%len(full)] {
+			// Its zone is full; tasks that belong into the other one go on. The first
+			// task without room once held up all, with machines idle in that zone.
+			full[i%len(full)] = true
+			continue
+		}
 		if m == nil {
 			if q.reason == "" {
 				q.reason = o.noRoom(s)
@@ -158,8 +165,11 @@
 			return
 		}
 	}
-	if held > 0 {
+	switch {
+	case held > 0:
 		q.reason = o.failedWhere(q)
+	case slices.Contains(full, true) && q.reason == "":
+		q.reason = o.noRoom(s)
 	}
 }
 
--- a/internal/core/flight.go
+++ b/internal/core/flight.go
@@ -205,9 +205,14 @@
 	o.c.info("every machine has been seen")
 }
 
-// forget drops the machines that are surely gone.
+// forget drops the machines that are surely gone, and sees to it that of the others the
+// type is known: one that was told of before the types were, and had no news since, got
+// no work for ever.
 func (o *orchestrator) forget() {
 	for name, v := range o.rigs.all() {
+		if v.mt == nil {
+			v.mt = o.c.types()[v.state.Type]
+		}
 		// A machine that no part lists and that is out of the register was
 		// deleted by an earlier leader; what it was thought to run once held two
 		// tasks back for ever. The wait lets the mirror catch up.
--- a/internal/core/pictures.go
+++ b/internal/core/pictures.go
@@ -179,6 +179,11 @@
 	if s.Partial {
 		old := &v.state
 		s.Addr, s.Type, s.Zone, s.Spot = old.Addr, old.Type, old.Zone, old.Spot
+		if s.Type == "" {
+			// We have no whole picture of it, and it would never be told again: the
+			// machine was up and got no work for ever.
+			p.outbox.Resync, p.dirty = true, true
+		}
 	}
 	// Only now: a partial picture names no type, and a machine that was first told of
 	// before the types were known got no work for ever.
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -1175,3 +1175,22 @@
 	s.Users.Submit(spec, 5)
 	s.within(250*second, "the job is done", s.Users.AllTold)
 }
+
+// Where the zone of a spread job's first task has no room, those of the other zone start.
+func TestSpreadJobUsesTheZoneThatHasRoom(t *testing.T) {
+	s := begin(t, 56)
+	s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = 0, 0
+	s.Cloud.Add("box", "a", true)
+	s.Cloud.Add("box", "b", true)
+	spec := fake.Array(40)
+	spec.Spread = true
+	j := s.Users.Submit(spec, 8)
+	s.within(30*second, "both zones are used", func() bool { return j.Running() == 8 })
+	for i := range 40 {
+		if m := j.On(i); m != "" && s.Workers[m].Info.Zone == "a" {
+			s.Cloud.Remove(m)
+		}
+	}
+	before := j.Answer.Done
+	s.within(60*second, "the other zone goes on", func() bool { return j.Answer.Done >= before+12 })
+}
