--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -117,7 +117,13 @@
 	for _, m := range p.rooms {
 		all += m.view.mt.CPUs
 	}
-	p.spare = max(all-o.c.fleet.hosts/2, all*guestShare)
+	// Less than a CPU is nothing: what is left of an inflow that ended long ago once kept
+	// a gang that needs every machine from starting, for a millionth of a CPU.
+	hosts := o.c.fleet.hosts
+	if hosts < 1 {
+		hosts = 0
+	}
+	p.spare = max(all-hosts/2, all*guestShare)
 	for t := range o.c.guests {
 		if own := o.used[t]; own != nil {
 			p.guests += own.cpus
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -1194,3 +1194,18 @@
 	before := j.Answer.Done
 	s.within(60*second, "the other zone goes on", func() bool { return j.Answer.Done >= before+12 })
 }
+
+// Long after the others' work has ended, a guest's gang may take every machine.
+func TestGuestGangTakesAllThatIsLeft(t *testing.T) {
+	s := begin(t, 57)
+	s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = 0, 0
+	for range 2 {
+		s.Cloud.Add("box", "a", true)
+	}
+	s.Users.Submit(fake.Array(2), 5)
+	s.within(40*second, "the others' work is done", s.Users.AllTold)
+	gang := fake.Array(8)
+	gang.Team, gang.Kind = "guest", wire.KindGang
+	s.Users.Submit(gang, 10)
+	s.within(600*second, "the gang is done", s.Users.AllTold)
+}
