--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"cmp"
 	"slices"
 	"sort"
 	"strings"
@@ -211,7 +210,7 @@
 		case x.part != y.part && room[x.part] != room[y.part]:
 			return first(room[x.part] > room[y.part])
 		}
-		return cmp.Or(cmp.Compare(x.cpus, y.cpus), cmp.Compare(x.mem, y.mem))
+		return x.compare(&y.room)
 	})
 	return out
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -141,7 +141,7 @@
 	guards := []wire.Guard{c.members.leaderGuard()}
 	var ops []wire.Op
 	for key, rec := range shelveTypes(f.typesSeen.Types, int(c.set.Site.State.ValueKB*1024)/2) {
-		if _, there := c.ledger.versions[key]; !there && len(ops) < min(c.txnOps(), max(int(64/c.set.Site.State.ValueKB), 1)) {
+		if _, there := c.ledger.versions[key]; !there && len(ops) < c.register.shelves() {
 			ops = append(ops, wire.Op{Put: key, Value: rec})
 		}
 	}
--- a/internal/core/room.go
+++ b/internal/core/room.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/chalkhub/chalkhub/internal/wire"
@@ -115,9 +116,9 @@
 }
 
 // tighter reports whether less is left here than there.
-func (r *room) tighter(b *room) bool {
-	if r.cpus != b.cpus {
-		return r.cpus < b.cpus
-	}
-	return r.mem < b.mem
+func (r *room) tighter(b *room) bool { return r.compare(b) < 0 }
+
+// compare orders rooms by what is left in them, the least first.
+func (r *room) compare(b *room) int {
+	return cmp.Or(cmp.Compare(r.cpus, b.cpus), cmp.Compare(r.mem, b.mem))
 }
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
 	"time"
 
@@ -92,7 +91,7 @@
 	}
 	s.Logs = nil
 	s.within(5*second, "every machine has been seen", func() bool {
-		return strings.Contains(strings.Join(s.Logs, "\n"), "every machine has been seen")
+		return s.said("every machine has been seen")
 	})
 	s.Run(s.Now + 10*second)
 	if n := s.Cloud.Deleted - deleted; n > 0 {
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -644,7 +644,7 @@
 			n = s.leader()
 		}
 		said := func(what string) func() bool {
-			return func() bool { return strings.Contains(strings.Join(s.Logs, "\n"), what) }
+			return func() bool { return s.said(what) }
 		}
 		s.Cut(n.Label, "workers", false)
 		s.within(15*second, "it leaves the map", said("leaving the map"))
@@ -706,7 +706,7 @@
 	old.Crash(0)
 	s.Logs = nil
 	s.within(9*second, "every other machine has been seen", func() bool {
-		return strings.Contains(strings.Join(s.Logs, "\n"), "every machine has been seen")
+		return s.said("every machine has been seen")
 	})
 	s.within(300*second, "every job is done", s.Users.AllTold)
 }
