Late copies of /do, a leader that reads anew, boots that are slow: three failures found

A process may be back within a fraction of a second, and late copies of old messages and repeats of requests that were carried out may follow.

Ruled out: hard fencing at each clearing (the machine gets no work until it has shown the token, half a second and more at every task that ends).

--- a/internal/core/fence.go
+++ b/internal/core/fence.go
@@ -146,6 +146,7 @@
 
 func (p *part) raise(r *rig) {
 	r.token++
+	r.base = r.token
 	r.trusted, r.whole = false, true
 	p.mark(r)
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -37,6 +37,7 @@
 	count     map[pool]int             // machines that are or will be of use
 	closed    map[pool]time.Duration
 	strikes   map[pool]int
+	given     map[string]int // by type: boots given up since one was up
 	counter   int
 	listing   bool
 	listAt    time.Duration
@@ -74,6 +75,7 @@
 	f.burst = 0
 	f.closed = map[pool]time.Duration{}
 	f.strikes = map[pool]int{}
+	f.given = map[string]int{}
 	f.lists, f.listAt = 0, 0
 	f.listFrom, f.listSeen = "", map[string]bool{}
 	f.desired = 0
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -174,6 +174,7 @@
 	// anew, in an epoch of its own.
 	if l.c.members.leading {
 		l.c.members.leading = false
+		l.c.orch.againRev = l.loadRev
 		l.c.orch.leadership(false)
 	}
 	l.loading, l.loadFrom = false, ""
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -76,6 +76,7 @@
 	epochAtStart uint64
 	epochAt      time.Duration // when this leader entered the epoch
 	startRev     uint64        // jobs newer than this were never dispatched before us
+	againRev     uint64        // the mirror's when it was last read anew while we led
 	parts        map[string]*partView
 	sessions     map[uint64]string // session -> label, "" before hello
 	rigs         *index[*rigView]
@@ -115,7 +116,9 @@
 	o.on = on
 	o.epoch = 0
 	o.epochAtStart = o.c.members.epoch()
-	o.startRev = o.c.ledger.versions[keyLeader]
+	// Guards against a leader that had to read everything anew: what came after its own
+	// key was written it may have dispatched itself, before its books were gone.
+	o.startRev = max(o.c.ledger.versions[keyLeader], o.againRev)
 	o.clear()
 	o.lastRound = 0
 	o.writesAt = o.c.now.Steady
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -176,6 +176,7 @@
 		// 13 s for two dead machines of 900 whose owner had never changed.
 		r.kept = stayed && (r.trusted || r.kept)
 		r.token = e << tokenBits
+		r.base = r.token
 		r.trusted = false
 		r.asking, r.askAgain, r.unanswered = 0, 0, 0
 		r.draining, r.closing = false, false
@@ -212,7 +213,7 @@
 
 func (p *part) newRig(name string) *rig {
 	r := &rig{
-		name: name, whole: true, token: p.epoch << tokenBits, answered: p.c.now.Steady, heard: p.c.now.Steady,
+		name: name, whole: true, token: p.epoch << tokenBits, base: p.epoch << tokenBits, answered: p.c.now.Steady, heard: p.c.now.Steady,
 		avoid: map[string]time.Duration{},
 	}
 	p.rigs.set(name, r)
--- a/internal/core/pictures.go
+++ b/internal/core/pictures.go
@@ -204,6 +204,7 @@
 	v.state.Tasks, v.state.Left, v.state.Images = nil, nil, nil
 	if s.Up && !wasUp && v.upAt < 0 {
 		v.upAt = o.c.now.Steady
+		delete(o.c.fleet.given, s.Type)
 		v.emptyAt = o.c.now.Steady
 	}
 	for i := range tasks {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"slices"
-
 	"github.com/chalkhub/chalkhub/internal/wire"
 )
 
@@ -11,8 +9,9 @@
 // report.
 func (p *part) commands(r *rig, doID uint64, start bool) []wire.Command {
 	var cmds, clears []wire.Command
-	clearNow := false
+	clearNow, direct, starts := false, false, false
 	for _, t := range r.tasks {
+		starts = starts || t.phase == phaseQueued && start
 		if t.phase != phaseListed {
 			continue
 		}
@@ -24,6 +23,7 @@
 			// of every controller would lose the only trace of it.
 			if t.why != wire.WhyDone || over || j.isDone(t.index) || j.rec.Spec.Kind == wire.KindService {
 				clears = append(clears, wire.Command{Op: wire.OpForget, Task: t.task, Attempt: t.attempt})
+				direct = direct || t.doID != 0 && t.token == r.token
 				clearNow = clearNow || t.why != wire.WhyDone || p.c.now.Steady-t.ended > p.c.times.lease/2
 			}
 		case over || j.isDone(t.index):
@@ -36,7 +36,18 @@
 			cmds = append(cmds, stop)
 		}
 	}
-	starts := len(cmds)
+	// Each change of its list makes a worker report once more. Clearing alone is
+	// no reason for that: it waits for other commands, but not for long.
+	if clear := len(clears) > 0 && (clearNow || len(cmds) > 0 || starts); clear {
+		if direct {
+			// Guards against a /do that was carried out and comes once more: what it
+			// started is unknown to the worker once it is cleared, and it would start
+			// it again. The worker takes the token and the clearing together, so
+			// nothing that it lists meanwhile is in doubt.
+			r.token++
+		}
+		cmds = append(cmds, clears...)
+	}
 	for _, t := range r.tasks {
 		if t.phase != phaseQueued || !start {
 			continue
@@ -49,11 +60,6 @@
 		}
 		cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: t.task, Attempt: t.attempt})
 	}
-	// Each change of its list makes a worker report once more. Clearing alone is
-	// no reason for that: it waits for other commands, but not for long.
-	if clearNow || len(cmds) > 0 {
-		cmds = slices.Insert(cmds, starts, clears...)
-	}
 	return cmds
 }
 
--- a/internal/core/placed.go
+++ b/internal/core/placed.go
@@ -49,7 +49,8 @@
 
 	session, seq uint64 // newest message seen
 	token        uint64 // ours for this machine
-	trusted      bool   // the newest message carried our token
+	base         uint64 // the first that is: what it lists with this or a later one is believed
+	trusted      bool   // the newest message carried one of them
 	kept         bool   // it was trusted in the last epoch, and ours then too
 	answered     time.Duration
 	heard        time.Duration
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -41,13 +41,14 @@
 	if newest {
 		p.read(r, rep, 0, true)
 	}
-	ans := wire.ReportAnswer{Token: r.token}
+	var ans wire.ReportAnswer
 	if newest && r.trusted {
 		if entitled {
 			p.place()
 		}
 		ans.Commands = p.commands(r, 0, entitled)
 	}
+	ans.Token = r.token // which the commands may have raised
 	c.emit(Reply{ID: id, Status: 200, Body: ans})
 }
 
@@ -78,7 +79,7 @@
 		}
 	}
 	was := r.trusted
-	r.trusted = rep.Token == r.token
+	r.trusted = rep.Token >= r.base && rep.Token <= r.token
 	if r.trusted != was {
 		r.whole = true
 		p.mark(r)
@@ -99,9 +100,9 @@
 		case t.phase == phaseAnswered:
 			// Executed before this report was made, or never; a message made
 			// for a /do may be older than the response that carried it.
-			return !viaReport && t.token == r.token
+			return !viaReport && t.token >= rep.Token
 		case t.phase == phaseDirect:
-			return t.token == r.token && t.doID != doID
+			return t.token >= rep.Token && t.doID != doID
 		}
 		return false
 	})
--- a/internal/core/return.go
+++ b/internal/core/return.go
@@ -142,7 +142,8 @@
 			f.retire(h, "taken back")
 		case v != nil && v.sick:
 			f.retire(h, "faulty")
-		case mt != nil && v == nil && age > config.Seconds(mt.BootS*c.policy.BootPatience) && age > time.Minute:
+		case mt != nil && v == nil && age > f.bootPatience(mt) && age > time.Minute:
+			f.given[h.typ]++
 			f.retire(h, "did not come up")
 		case v != nil && !up && v.state.Sure && c.now.Steady-v.emptyAt > f.silence(h.zone):
 			f.retire(h, "silent")
@@ -193,6 +194,15 @@
 	c.emit(Delete{Names: names})
 }
 
+// bootPatience is how long a machine may boot. It doubles with each that is given up while
+// none of its type comes up, up to four times as long.
+//
+// Guards against giving up every machine just before it is up where all boots take several
+// times as long as usual, one after another for twenty minutes.
+func (f *fleet) bootPatience(mt *wire.MachineType) time.Duration {
+	return config.Seconds(mt.BootS * f.c.policy.BootPatience * float64(int(1)<<min(f.given[mt.Name], 2)))
+}
+
 // withdraws reports whether a machine that is returned is empty, and its part has
 // said that it gives it nothing more: then it can leave the register before it is
 // deleted. A new leader once waited 13 s for 35 machines that the last one had
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -1265,3 +1265,49 @@
 		s.within(60*second, "all of it runs again", func() bool { return l.Running() >= 44 })
 	}
 }
+
+// Whatever was sent arrives once more, up to two minutes late: what a /do started, was
+// stopped and cleared is not started again by its copy.
+func TestCopiesOfWhatWasCarriedOut(t *testing.T) {
+	s := begin(t, 900)
+	s.Copies, s.CopyBy = 1, 120*second
+	j := s.Users.Submit(fake.Array(4), 300)
+	s.within(60*second, "a machine is up", func() bool { return j.Running() == 4 })
+	var jobs []*fake.Job
+	for range 12 { // beside it, so that they start by /do
+		jobs = append(jobs, s.Users.Submit(fake.Array(2), 300))
+		s.Run(s.Now + 700*time.Millisecond)
+	}
+	s.Run(s.Now + 10*second)
+	for _, j := range jobs {
+		s.Users.Abort(j)
+	}
+	s.Run(s.Now + 150*second)
+	s.rules()
+}
+
+// A leader that has to read everything anew does not know what it dispatched before: what
+// may be on a machine that it can't reach does not start elsewhere.
+func TestLeaderReadsAnew(t *testing.T) {
+	for seed := range uint64(4) {
+		s := begin(t, 910+seed)
+		j := s.Users.Submit(fake.Array(60), 60)
+		s.within(90*second, "all run", func() bool { return j.Running() == 60 })
+		n, machine := s.leader(), j.On(int(seed)*16)
+		for _, x := range s.Nodes {
+			s.Cut(x.Label, machine, false)
+		}
+		s.State.Forgot[n.Label] = true
+		for _, x := range s.Nodes {
+			if x != n { // nor do those who looked after the machine
+				x.Crash(second / 5)
+			}
+		}
+		s.within(20*second, "it reads anew", func() bool { return !s.State.Forgot[n.Label] })
+		s.Run(s.Now + 10*second)
+		for _, x := range s.Nodes {
+			s.Mend(x.Label, machine)
+		}
+		s.within(300*second, "all is done", s.Users.AllTold)
+	}
+}
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -19,6 +19,7 @@
 	ends    map[uint64]time.Duration // by lease
 	Out     bool                     // an outage: every node gets 503
 	Refuses map[string]bool          // nodes that alone get 503
+	Forgot  map[string]bool          // nodes whose next watch is told that its revision is too old
 	// LateShare is the share of transactions that get no answer and are applied
 	// up to LateBy afterwards.
 	LateShare float64
@@ -65,7 +66,7 @@
 }
 
 func newState(w *World) *State {
-	return &State{w: w, now: store.Empty(), ends: map[uint64]time.Duration{}, Refuses: map[string]bool{}}
+	return &State{w: w, now: store.Empty(), ends: map[uint64]time.Duration{}, Refuses: map[string]bool{}, Forgot: map[string]bool{}}
 }
 
 // Outage makes the service refuse everybody for a while; leases are frozen and
@@ -197,6 +198,11 @@
 		done(429, wire.Events{})
 		return
 	}
+	if s.Forgot[node] {
+		delete(s.Forgot, node)
+		done(410, wire.Events{})
+		return
+	}
 	if e.Hold == 0 || s.now.Revision > e.Since {
 		s.since(e.Since, done)
 		return
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -39,6 +39,10 @@
 	PeersRefuse bool
 	// Loss is the share of calls whose request or answer is lost.
 	Loss float64
+	// Copies is the share of requests of which a copy arrives once more, up to CopyBy
+	// after the request itself.
+	Copies float64
+	CopyBy time.Duration
 	// Logs keeps the nodes' log lines, for a story that asks for them.
 	Logs []string
 	// Applied is told what each batch of commands took of a node, in real time, if
@@ -246,6 +250,9 @@
 	if plain := serve; to == "state" && w.State.Slow > 0 {
 		serve = func(reply func(T)) { w.After(w.State.Slow, func() { plain(reply) }) }
 	}
+	if w.Copies > 0 && w.Rand.Float64() < w.Copies {
+		w.After(w.Latency*2+time.Duration(w.Rand.Int64N(int64(w.CopyBy)+1)), func() { serve(func(T) {}) })
+	}
 	send(from, to, func() {
 		serve(func(t T) {
 			send(to, from, func() {
