--- a/client/client.go
+++ b/client/client.go
@@ -106,6 +106,9 @@
 	// the time that it needs to; 0: it never saves.
 	Checkpoint, Save time.Duration
 	Deadline         time.Duration // from the submission on, 0: none
+	// After names jobs that must be done before any task of this one starts. If one of
+	// them is cancelled, so is this.
+	After []string
 
 	// What a task does: a command, or a simulated run time.
 	Command  []string
@@ -118,7 +121,7 @@
 	w := wire.Job{ID: j.ID, Class: j.Class, Team: j.Team, Kind: string(j.Kind), Urgency: string(j.Urgency), Tasks: j.Tasks,
 		CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, Image: j.Image, ImageGB: j.ImageGB, Types: j.Types, Zone: j.Zone,
 		OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, EstimateS: j.Estimate.Seconds(), CheckpointS: j.Checkpoint.Seconds(),
-		SaveS: j.Save.Seconds(), DeadlineS: j.Deadline.Seconds()}
+		SaveS: j.Save.Seconds(), DeadlineS: j.Deadline.Seconds(), Needs: j.After}
 	or := func(s *string, other string) {
 		if *s == "" {
 			*s = other
--- a/cmd/chalk/jobs.go
+++ b/cmd/chalk/jobs.go
@@ -43,6 +43,7 @@
 	Checkpoint time.Duration     `yaml:"checkpoint"`
 	Save       time.Duration     `yaml:"save"`
 	Deadline   time.Duration     `yaml:"deadline"`
+	After      []string          `yaml:"after"`
 	Command    []string          `yaml:"command"`
 	Env        map[string]string `yaml:"env"`
 	Folder     string            `yaml:"folder"`
@@ -56,7 +57,7 @@
 func (f *jobFile) job() *client.Job {
 	return &client.Job{ID: f.ID, Class: f.Class, Team: f.Team, Kind: kinds[f.Kind], Urgency: urgencies[f.Urgency], Tasks: f.Tasks, CPUs: f.CPUs,
 		GPUs: f.GPUs, MemoryGB: f.MemoryGB, Image: f.Image, ImageGB: f.ImageGB, Types: f.Types, Zone: f.Zone, OneZone: f.OneZone, Spread: f.Spread,
-		Spot: f.Spot, Estimate: f.Estimate, Checkpoint: f.Checkpoint, Save: f.Save, Deadline: f.Deadline, Command: f.Command, Env: f.Env,
+		Spot: f.Spot, Estimate: f.Estimate, Checkpoint: f.Checkpoint, Save: f.Save, Deadline: f.Deadline, After: f.After, Command: f.Command, Env: f.Env,
 		Folder: f.Folder, Simulate: f.Simulate}
 }
 
@@ -100,6 +101,7 @@
 	Checkpoint time.Duration     `help:"Span of progress after which a task saves."`
 	Save       time.Duration     `help:"Time that a task needs to save when it is stopped."`
 	Deadline   time.Duration     `help:"When the job should be done, from now on."`
+	After      []string          `placeholder:"JOB" help:"Jobs that must be done before this one starts; if one of them is cancelled, so is this."`
 	Env        map[string]string `help:"Environment of the command."`
 	Folder     string            `help:"Working folder; a new one for each attempt if empty."`
 	Simulate   time.Duration     `help:"Run nothing for so long, in place of a command."`
@@ -128,7 +130,7 @@
 	}
 	return &client.Job{ID: c.ID, Class: c.Class, Team: c.Team, Kind: kind, Urgency: urgencies[c.Urgency], Tasks: c.Tasks, CPUs: c.CPUs, GPUs: c.GPUs,
 		MemoryGB: c.Memory, Types: c.Types, Zone: c.Zone, OneZone: c.OneZone, Spread: c.Spread, Spot: c.Spot, Estimate: c.Estimate,
-		Checkpoint: c.Checkpoint, Save: c.Save, Deadline: c.Deadline, Env: c.Env, Folder: c.Folder, Simulate: c.Simulate, Command: command}, nil
+		Checkpoint: c.Checkpoint, Save: c.Save, Deadline: c.Deadline, After: c.After, Env: c.Env, Folder: c.Folder, Simulate: c.Simulate, Command: command}, nil
 }
 
 // Run submits the job.
--- a/cmd/regress/main.go
+++ b/cmd/regress/main.go
@@ -29,7 +29,7 @@
 
 // sites are the deployments of a mode, as patterns below the kit.
 func sites(mode string) []string {
-	all := []string{"next/*-grown.toml", "more/*-ops.toml", "more/fleet/*-fleet.toml"}
+	all := []string{"change/*-next.toml", "more/*-ops.toml", "more/fleet/*-fleet.toml"}
 	if mode == "quick" {
 		return all[:2]
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -17,6 +17,13 @@
 	if err != nil || s.Label != "n0" || s.Site.InitialSize != 2 {
 		t.Fatal(s, err)
 	}
+	if l := s.Site.State.Least(); l != s.Site.State {
+		t.Fatal(l)
+	}
+	next, err := Parse([]byte(strings.Replace(good, `"txn_ops":16`, `"txn_ops":16,"next":{"value_kb":2,"txn_ops":20}`, 1)))
+	if err != nil || next.Site.State.Least() != (State{RPS: 100, WriteRPS: 50, ValueKB: 2, TxnOps: 16}) {
+		t.Fatal(next, err)
+	}
 	for change, field := range map[[2]string]string{
 		{`"label":"n0"`, `"label":""`}:                     "label",
 		{`"serve_on":"127.0.0.1:1"`, `"serve_on":"here"`}:  "serve_on",
@@ -25,6 +32,7 @@
 		{`"cancel_s":45`, `"cancel_s":18`}:                 "settings.workers.cancel_s",
 		{`"write_rps":50`, `"write_rps":-1`}:               "settings.state.write_rps",
 		{`"cpus":4,"cpus_max":8`, `"cpus":9,"cpus_max":8`}: "settings.teams[0]",
+		{`"txn_ops":16`, `"txn_ops":16,"next":{"rps":-1}`}: "settings.state.next",
 		{`"ram_mb":128`, `"ram_mb":"much"`}:                "ram_mb",
 	} {
 		text := strings.Replace(good, change[0], change[1], 1)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -75,12 +75,34 @@
 	CancelS   float64 `json:"cancel_s"`
 }
 
-// State holds the state service's limits.
+// State holds the state service's limits, and those that it will have from some moment
+// on that nobody tells. A limit that Next leaves out stays.
 type State struct {
 	RPS      float64 `json:"rps"`
 	WriteRPS float64 `json:"write_rps"`
 	ValueKB  float64 `json:"value_kb"`
 	TxnOps   int     `json:"txn_ops"`
+	Next     *State  `json:"next"`
+}
+
+// Least is what holds now and will hold then: the smaller of each limit.
+//
+// Guards against what could be written only before the limits fell, and would have to be
+// rewritten afterwards at a rate that has fallen too.
+func (s *State) Least() State {
+	out := *s
+	out.Next = nil
+	if n := s.Next; n != nil {
+		least := func(now, then float64) float64 {
+			if then > 0 {
+				return min(now, then)
+			}
+			return now
+		}
+		out.RPS, out.WriteRPS, out.ValueKB = least(s.RPS, n.RPS), least(s.WriteRPS, n.WriteRPS), least(s.ValueKB, n.ValueKB)
+		out.TxnOps = int(least(float64(s.TxnOps), float64(n.TxnOps)))
+	}
+	return out
 }
 
 // Cloud holds the cloud's limits.
@@ -181,6 +203,9 @@
 	positive("settings.state.write_rps", site.State.WriteRPS)
 	positive("settings.state.value_kb", site.State.ValueKB)
 	positive("settings.state.txn_ops", float64(site.State.TxnOps))
+	if n := site.State.Next; n != nil && !(n.RPS >= 0 && n.WriteRPS >= 0 && n.ValueKB >= 0 && n.TxnOps >= 0) {
+		bad("settings.state.next", "has a negative limit")
+	}
 	positive("settings.cloud.rps", site.Cloud.RPS)
 	positive("settings.resources.ram_mb", site.Resources.RAMMB)
 	positive("settings.resources.max_sockets", float64(site.Resources.MaxSockets))
--- a/internal/core/archive.go
+++ b/internal/core/archive.go
@@ -24,6 +24,7 @@
 type ended struct {
 	version uint64
 	at      uint32 // time of day of the submission, in seconds
+	over    uint32 // and when it was done, 0: an older version wrote it
 	tasks   uint32
 	kind    uint32
 	reason  uint32
@@ -60,10 +61,12 @@
 	if was, known := a.jobs[s.ID]; rec.State == wire.JobDone && !(known && was.done) {
 		a.books.Done(floor.Account{Team: s.Team, Class: s.Class}, rec.At, &a.rules)
 	}
-	a.jobs[s.ID] = ended{version: version, at: uint32(min(max(rec.At, 0), math.MaxUint32)), tasks: uint32(s.Tasks),
+	a.jobs[s.ID] = ended{version: version, at: seconds32(rec.At), over: seconds32(rec.Over), tasks: uint32(s.Tasks),
 		kind: n, reason: w, done: rec.State == wire.JobDone}
 }
 
+func seconds32(x float64) uint32 { return uint32(min(max(x, 0), math.MaxUint32)) }
+
 // get returns a job that is over as the mirror would hold it, nil if it has none of
 // that name. Each call makes a new one: a job that is over no longer changes.
 func (a *archive) get(id string) *job {
--- /dev/null
+++ b/internal/core/behind_test.go
@@ -0,0 +1,367 @@
+package core_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/config"
+	"github.com/chalkhub/chalkhub/internal/fake"
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// behind describes a job of n tasks that needs others.
+func behind(n int, needs ...*fake.Job) wire.Job {
+	spec := fake.Array(n)
+	for _, j := range needs {
+		spec.Needs = append(spec.Needs, j.Spec.ID)
+	}
+	return spec
+}
+
+// hand submits a job and waits until it is accepted.
+func (s *story) accept(spec wire.Job, run float64) *fake.Job {
+	s.t.Helper()
+	j := s.Users.Submit(spec, run)
+	s.within(30*second, "a job is accepted", func() bool { return j.Accepted })
+	return j
+}
+
+func told(state string, jobs ...*fake.Job) func() bool {
+	return func() bool {
+		for _, j := range jobs {
+			if j.Told != state {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// diamond submits a pipeline: one, two that need it, and one that needs both.
+func (s *story) diamond() []*fake.Job {
+	a := s.accept(fake.Array(3), 6)
+	b := s.accept(behind(4, a), 5)
+	c := s.accept(behind(2, a, a), 9)
+	return []*fake.Job{a, b, c, s.accept(behind(1, b, c), 2)}
+}
+
+func TestPipelineRunsInOrder(t *testing.T) {
+	s := begin(t, 300)
+	jobs := s.diamond()
+	s.within(10*second, "the last says what it waits for", func() bool {
+		return strings.HasPrefix(jobs[3].Answer.Reason, "waits for "+jobs[1].Spec.ID)
+	})
+	s.leader().Crash(second / 5)
+	s.within(200*second, "all are done", told(wire.JobDone, jobs...))
+	// The last job of a pipeline may come when all else is over.
+	last := s.accept(behind(1, jobs...), 1)
+	s.within(60*second, "that one too", told(wire.JobDone, last))
+}
+
+func TestCancellationReachesAllBehind(t *testing.T) {
+	s := begin(t, 301)
+	jobs := s.diamond()
+	other := s.accept(fake.Array(1), 300)
+	s.Users.Abort(jobs[0])
+	s.within(45*second, "all behind it are cancelled", told(wire.JobCancelled, jobs...))
+	late := s.accept(behind(2, other, jobs[3]), 1)
+	s.within(10*second, "who names a cancelled one is accepted and cancelled", told(wire.JobCancelled, late))
+	if !strings.Contains(late.Answer.Reason, jobs[3].Spec.ID) {
+		t.Fatalf("the reason is %q", late.Answer.Reason)
+	}
+	for _, n := range s.Nodes { // whoever reads the records comes to the same
+		n.Crash(second / 20)
+	}
+	s.Run(s.Now + 60*second)
+	for range 60 {
+		s.Users.PollAny()
+		s.Run(s.Now + second)
+	}
+	s.rules()
+}
+
+// One branch of a diamond is cancelled: the end too, the other branch goes on.
+func TestOneBranchIsCancelled(t *testing.T) {
+	s := begin(t, 302)
+	jobs := s.diamond()
+	s.Users.Abort(jobs[1])
+	s.within(60*second, "the end is cancelled", told(wire.JobCancelled, jobs[1], jobs[3]))
+	s.within(60*second, "the other branch is done", told(wire.JobDone, jobs[0], jobs[2]))
+}
+
+// Whichever of done and cancelled comes first, those behind follow it, wherever they are
+// asked about; the checker holds every answer against the others.
+func TestCancelledWhileItsLastTaskEnds(t *testing.T) {
+	outcomes := map[string]int{}
+	for seed := range uint64(60) {
+		s := begin(t, 400+seed)
+		a := s.accept(fake.Array(1), 4)
+		b := s.accept(behind(1, a), 1)
+		s.Until(s.Now+60*second, func() bool { return a.Running() > 0 })
+		s.Run(s.Now + 4*second - 300*time.Millisecond + time.Duration(seed)*25*time.Millisecond)
+		s.Users.Abort(a)
+		c := s.Users.Submit(behind(1, a, b), 1)
+		if seed%4 == 0 {
+			s.leader().Crash(second / 20)
+		}
+		s.within(200*second, "all come to the same end", func() bool {
+			return c.Told == a.Told && b.Told == a.Told && told(c.Told, a)() && a.Told != "" && a.Told != wire.JobQueued && a.Told != wire.JobRunning
+		})
+		outcomes[a.Told]++
+	}
+	if outcomes[wire.JobDone] == 0 || outcomes[wire.JobCancelled] == 0 {
+		t.Fatalf("the story shows one outcome only: %v", outcomes)
+	}
+}
+
+func TestWhatCanNeverBeDoneIsRefused(t *testing.T) {
+	s := begin(t, 303)
+	service := fake.Array(1)
+	service.Kind, service.EstimateS = wire.KindService, 0
+	up := s.accept(service, 1)
+	self := fake.Array(1)
+	self.ID, self.Needs = "job-777777", []string{"job-777777"}
+	stranger := fake.Array(1)
+	stranger.Needs = []string{"job-888888"}
+	var jobs []*fake.Job
+	for _, spec := range []wire.Job{self, stranger, behind(1, up)} {
+		jobs = append(jobs, s.Users.Submit(spec, 1))
+	}
+	s.within(10*second, "all are refused", func() bool {
+		for _, j := range jobs {
+			if j.Refused != 422 {
+				return false
+			}
+		}
+		return true
+	})
+	// A repeat is answered by what was accepted, whatever it names.
+	a := s.accept(fake.Array(1), 3)
+	b := s.accept(behind(1, a), 3)
+	b.Spec.Needs = []string{"job-888888"}
+	s.Users.Resubmit(b)
+	s.Run(s.Now + 5*second)
+	s.rules()
+}
+
+// A pipeline that waits holds nothing: another team's, and its own team's, work runs as if
+// it were not there.
+func TestWaitingHoldsNothing(t *testing.T) {
+	s := begin(t, 304)
+	spec := fake.Array(24)
+	spec.Team = "red"
+	first := s.accept(spec, 40) // its team's whole limit
+	for range 3 {
+		w := behind(24, first)
+		w.Team, w.Urgency = "red", wire.UrgencyProduction
+		s.accept(w, 5)
+	}
+	free := s.accept(fake.Array(8), 5) // team blue's guarantee
+	s.within(60*second, "other work is done", told(wire.JobDone, free))
+	s.within(400*second, "and in the end all", s.Users.AllTold)
+}
+
+// What an urgent job needs is treated as urgent.
+func TestUrgencyReachesBack(t *testing.T) {
+	done := func(urgent bool) time.Duration {
+		s := begin(t, 305)
+		for range 6 {
+			s.accept(fake.Array(40), 8)
+		}
+		spec := fake.Array(8)
+		spec.Urgency, spec.Class = wire.UrgencyLow, "steps"
+		step := s.accept(spec, 8)
+		if urgent {
+			last := behind(1, step)
+			last.Urgency = wire.UrgencyHigh
+			s.accept(last, 2)
+		}
+		s.within(900*second, "the step is done", told(wire.JobDone, step))
+		return s.Now
+	}
+	if plain, urgent := done(false), done(true); urgent*5 > plain*4 {
+		t.Fatalf("done after %v with an urgent job behind it, after %v without", urgent, plain)
+	}
+}
+
+// A roll: one controller after another comes back with the new version, the leader first;
+// what is new is refused while an old one lives, and works at once after.
+func TestUpgradeWhileServing(t *testing.T) {
+	s := begin(t, 306)
+	for _, n := range s.Nodes {
+		n.Old = true
+		n.Crash(second / 20)
+	}
+	s.Run(s.Now + 30*second)
+	before := s.accept(fake.Array(30), 20)
+	var after *fake.Job
+	for k := range s.Nodes {
+		n := s.leader()
+		for i := k; !n.Old; i++ {
+			n = s.Nodes[i%len(s.Nodes)]
+		}
+		n.Old = false
+		n.Crash(second / 5)
+		s.Run(s.Now + 8*second)
+		if k == 1 {
+			after = s.Users.Submit(behind(2, before), 3)
+			s.Run(s.Now + 6*second)
+			if after.Accepted && after.Told != "" && s.Nodes[0].Old {
+				t.Fatal("accepted while an old controller lives")
+			}
+		}
+	}
+	s.within(200*second, "all is done", func() bool { return told(wire.JobDone, before)() && after.Told == wire.JobDone })
+}
+
+// The limits of the state service fall without notice, to sizes that what is stored is
+// larger than.
+func TestLimitsFall(t *testing.T) {
+	set := fake.Settings(3)
+	set.Site.State = config.State{RPS: 200, WriteRPS: 40, ValueKB: 32, TxnOps: 20,
+		Next: &config.State{WriteRPS: 28, ValueKB: 2, TxnOps: 5}}
+	s := &story{World: fake.Build(307, set, fake.Types()), t: t}
+	for _, n := range s.Nodes {
+		n.Old = true
+		n.Start()
+	}
+	for range 60 {
+		s.Cloud.Add("box", "a", false)
+	}
+	s.Run(s.Now + 20*second) // old controllers fill large values
+	var jobs []*fake.Job
+	for k := range 80 {
+		spec := fake.Array(6)
+		spec.Class = fmt.Sprintf("class-%d", k)
+		jobs = append(jobs, s.Users.Submit(spec, 10))
+	}
+	s.Run(s.Now + 20*second)
+	for _, n := range s.Nodes {
+		n.Old = false
+		n.Crash(second / 5)
+		s.Run(s.Now + 5*second)
+	}
+	s.State.Lowered = true
+	huge := fake.Array(40_000)
+	huge.Team, huge.CPUs = "blue", 0.01
+	big := s.accept(huge, 1)
+	for range 40 {
+		s.Cloud.Add("box", "b", false)
+	}
+	s.within(300*second, "all is done", told(wire.JobDone, jobs...))
+	s.Run(s.Now + 60*second)
+	s.Users.Abort(big)
+	s.within(60*second, "the huge one is cancelled", told(wire.JobCancelled, big))
+	for _, n := range s.Nodes {
+		n.Crash(second / 5)
+	}
+	s.Run(s.Now + 60*second)
+	s.rules()
+}
+
+// A list of needs that is larger than several values, while every controller ends again
+// and again: it is accepted once, whole, and nothing of the other tries is left.
+func TestLongListOfNeeds(t *testing.T) {
+	set := fake.Settings(3)
+	set.Site.State.Next = &config.State{ValueKB: 2, TxnOps: 5}
+	s := &story{World: fake.Build(308, set, fake.Types()), t: t}
+	s.State.Lowered = true
+	s.Run(s.Now + 5*second)
+	var needs []*fake.Job
+	for k := range 700 {
+		spec := fake.Array(1)
+		spec.ID = fmt.Sprintf("job-%018d", 7_919_000_003*(k+1)*(k+7)%1_000_000_007*1_000_003)
+		needs = append(needs, s.Users.Submit(spec, 2))
+	}
+	s.within(300*second, "all are accepted", func() bool {
+		return !slices.ContainsFunc(needs, func(j *fake.Job) bool { return !j.Accepted })
+	})
+	first := s.accept(fake.Array(1), 90)
+	last := s.Users.Submit(behind(2, append(needs, first)...), 3)
+	for k := range 6 {
+		s.Run(s.Now + 1500*time.Millisecond)
+		s.Nodes[k%3].Crash(second / 5)
+	}
+	s.within(60*second, "the list is accepted", func() bool { return last.Accepted })
+	s.within(10*second, "it waits", func() bool { return last.Told == wire.JobQueued })
+	for _, n := range s.Nodes {
+		n.Crash(second / 5)
+	}
+	s.within(400*second, "all is done", s.Users.AllTold)
+	s.within(500*second, "nothing of it is left", func() bool { return s.State.Count("c/long/") == 0 })
+}
+
+// Progress of a job whose block is larger than a value, some of it written before the
+// limits fell.
+func TestProgressOfAHugeJob(t *testing.T) {
+	set := fake.Settings(3)
+	set.Site.State.Next = &config.State{ValueKB: 2, TxnOps: 5}
+	s := &story{World: fake.Build(309, set, fake.Types()), t: t}
+	for _, n := range s.Nodes {
+		n.Old = true
+		n.Start()
+	}
+	for range 40 {
+		s.Cloud.Add("box", "a", false)
+	}
+	s.Run(s.Now + 10*second)
+	spec := fake.Array(18_000)
+	spec.CPUs, spec.MemoryGB, spec.Class = 0.25, 0.1, "grains"
+	j := s.Users.Submit(spec, 4)
+	s.within(300*second, "a third is done and written", func() bool { return j.Answer.Done > 6000 })
+	for _, n := range s.Nodes {
+		n.Old = false
+		n.Crash(second / 5)
+	}
+	s.State.Lowered = true
+	s.Run(s.Now + 30*second)
+	was := j.Answer.Done
+	for _, n := range s.Nodes {
+		n.Crash(second / 5)
+	}
+	s.Run(s.Now + 10*second)
+	if j.Answer.Done < was {
+		t.Fatalf("%d tasks were done, now %d", was, j.Answer.Done)
+	}
+	s.within(900*second, "it is done", told(wire.JobDone, j))
+	s.within(100*second, "nothing of it is left", func() bool { return s.State.Count("c/fine/")+s.State.Count("c/prog/") == 0 })
+}
+
+// A job whose description no longer fits into a value runs, in the zone that is chosen for
+// it, and ends.
+func TestDescriptionLargerThanAValue(t *testing.T) {
+	set := fake.Settings(3)
+	set.Site.State.Next = &config.State{ValueKB: 2}
+	s := &story{World: fake.Build(310, set, fake.Types()), t: t}
+	s.Run(s.Now + 5*second)
+	wide := fake.Array(6)
+	wide.OneZone, wide.Types = true, []string{"box"}
+	for k := range 200 {
+		wide.Types = append(wide.Types, fmt.Sprintf("a-type-of-another-cloud-%d", k))
+	}
+	for _, n := range s.Nodes {
+		n.Old = true
+		n.Start()
+	}
+	s.Run(s.Now + 5*second)
+	old := s.accept(wide, 5)
+	s.Cloud.Out = true // it can't start yet
+	for _, n := range s.Nodes {
+		n.Old = false
+		n.Crash(second / 5)
+	}
+	s.State.Lowered = true
+	s.Run(s.Now + 5*second)
+	s.Cloud.Out = false
+	now := s.Users.Submit(wide, 5)
+	gone := s.Users.Submit(wide, 500)
+	s.within(100*second, "it is accepted too", func() bool { return now.Accepted && gone.Accepted })
+	s.Users.Abort(gone)
+	s.within(200*second, "all come to their end", s.Users.AllTold)
+	if old.Told != wire.JobDone || now.Told != wire.JobDone {
+		t.Fatal(old.Told, now.Told)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -28,6 +28,7 @@
 // Core is the state of one controller.
 type Core struct {
 	set    *config.Settings
+	state  config.State // the limits of the state service that we keep to
 	policy config.Policy
 	boot   string
 	times  times
@@ -78,7 +79,7 @@
 	t.round = time.Second
 	t.sort = min(t.report/6, t.round)
 	// All nodes' watches and barriers together take at most half of the requests.
-	t.read = time.Duration(4 * float64(len(s.Siblings)+1) / s.Site.State.RPS * float64(time.Second))
+	t.read = time.Duration(4 * float64(len(s.Siblings)+1) / s.Site.State.Least().RPS * float64(time.Second))
 	// And if all of them load at once, three quarters.
 	t.page = t.read / 3
 	return t
@@ -88,13 +89,16 @@
 // half of a second's changes, since a larger one would never pass the limit while
 // others write too.
 func (c *Core) txnOps() int {
-	s := &c.set.Site.State
-	return max(min(s.TxnOps, int(s.WriteRPS/2)), 1)
+	return max(min(c.state.TxnOps, int(c.state.WriteRPS/2)), 1)
 }
 
+// valueSize is how many bytes a value may have, in the form in which limits are counted.
+func (c *Core) valueSize() int { return int(c.state.ValueKB * 1024) }
+
 // New makes the core of a controller. boot must differ in every process.
 func New(set *config.Settings, policy config.Policy, boot string, debug bool) *Core {
 	c := &Core{set: set, policy: policy, boot: boot, debug: debug, times: newTimes(set), guests: guestTeams(set.Site.Teams)}
+	c.state = set.Site.State.Least()
 	c.labels = []string{set.Label}
 	for _, s := range set.Siblings {
 		c.labels = append(c.labels, s.Label)
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -64,7 +64,7 @@
 			firm += min(cpus, work/f.horizon(q, pred))
 		}
 		// What no aim is set for is worth cheap machines only.
-		if waiting > 0 && (q.in || f.aimed(s)) {
+		if waiting > 0 && (q.in || f.aimed(s) || c.orch.inherits(q)) {
 			left := f.horizon(q, pred)
 			need := ahead/left + f.inflow(q)
 			d.due = max(d.due, need)
@@ -87,7 +87,7 @@
 // inflow is how many CPUs the work that keeps coming in, and ranks before a job,
 // takes.
 func (f *fleet) inflow(q *queued) float64 {
-	u := urgency(q.j.rec.Spec.Urgency)
+	u := q.urg
 	var sum float64
 	for v, x := range f.coming {
 		if v < u {
@@ -108,7 +108,7 @@
 		}
 	}
 	work := float64(s.Tasks) * s.CPUs * f.c.est.predict(s) / span
-	f.coming[urgency(s.Urgency)] += work
+	f.coming[q.urg] += work
 	if !f.c.guests[s.Team] {
 		f.hosts += work
 	}
@@ -125,8 +125,8 @@
 	}
 	l := f.c.ledger
 	for _, id := range sortedKeys(l.jobs) {
-		if j := l.jobs[id]; j.version > 0 {
-			count(&j.rec.Spec, j.rec.At)
+		if j := l.jobs[id]; j.version > 0 && !l.pipes.Waits(id) {
+			count(&j.rec.Spec, j.since())
 		}
 	}
 	var recent []string
@@ -178,7 +178,7 @@
 // Once it is too late for that, a cheap machine is all that it is worth.
 func (f *fleet) horizon(q *queued, pred float64) float64 {
 	s := &q.j.rec.Spec
-	age := max(f.c.now.Wall-q.j.rec.At, 0)
+	age := max(f.c.now.Wall-q.j.since(), 0)
 	patient := 10 * f.c.times.lease.Seconds()
 	h := math.Inf(1)
 	for _, a := range f.c.set.Site.Objectives {
@@ -196,7 +196,7 @@
 			left = a.WithinS - age
 		case "deadline":
 			if s.DeadlineS > 0 {
-				left = s.DeadlineS*max(a.Times, 1) - age
+				left = s.DeadlineS*max(a.Times, 1) - (f.c.now.Wall - q.j.rec.At)
 			}
 		case "wait":
 			left = pred
@@ -206,6 +206,10 @@
 			h = min(h, left*min(f.c.policy.HorizonShare+haste*(1-a.Share), 1))
 		}
 	}
+	// What others need has what is left before the last of them is late.
+	if left := q.latest - f.c.now.Wall; left > 0 && !math.IsInf(left, 1) && f.c.orch.inherits(q) {
+		h = min(h, left*f.c.policy.HorizonShare)
+	}
 	if math.IsInf(h, 1) {
 		h = patient
 	}
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -104,7 +104,7 @@
 	if canary && !o.tryOne(q) {
 		return
 	}
-	fitting := o.fitting(s, p)
+	fitting := o.fitting(q, p)
 	at, held, sent := 0, 0, 0
 	if c.debug {
 		defer func() {
@@ -195,8 +195,9 @@
 // Guards against small tasks that take, bit by bit, the room that others were stopped
 // for: a guest's next ones did, and those of two less urgent jobs that were stopped in
 // turn on the only machine that an urgent one could use, once a round for half an hour.
-func (o *orchestrator) fitting(s *wire.Job, p *plan) []*planned {
-	like := shape{s.CPUs, s.GPUs, s.MemoryGB, s.Zone, s.Spot, o.c.guests[s.Team], strings.Join(s.Types, " "), urgency(s.Urgency)}
+func (o *orchestrator) fitting(q *queued, p *plan) []*planned {
+	s := &q.j.rec.Spec
+	like := shape{s.CPUs, s.GPUs, s.MemoryGB, s.Zone, s.Spot, o.c.guests[s.Team], strings.Join(s.Types, " "), q.urg}
 	if p.none[like] {
 		return nil // within a round room only shrinks
 	}
@@ -208,7 +209,7 @@
 			continue
 		}
 		free = append(free, m)
-		if m.fits(s) && mayUse(s, m.typ, m.zone, m.spot) && !(m.made && (o.c.guests[s.Team] || urgency(s.Urgency) > m.due)) {
+		if m.fits(s) && mayUse(s, m.typ, m.zone, m.spot) && !(m.made && (o.c.guests[s.Team] || q.urg > m.due)) {
 			m.warm = m.has(s.Image)
 			out = append(out, m)
 			room[m.part] += m.cpus
@@ -336,8 +337,14 @@
 	rec := q.j.rec
 	rec.Zones = zones[:need]
 	q.choosing = true
-	guards := []wire.Guard{o.c.members.leaderGuard(), {Key: keyJob + q.id, Version: q.j.key}}
-	o.c.ledger.commit(guards, []wire.Op{{Put: keyJob + q.id, Value: rec}}, func(CommitDone) {
+	guards := []wire.Guard{o.c.members.leaderGuard(), q.j.ownGuard()}
+	op := wire.Op{Put: q.j.ownKey(), Value: rec}
+	if wire.TextSize(rec) > o.c.valueSize() {
+		// It was written when values could be larger, or in pieces.
+		op = wire.Op{Put: keyZones + q.id, Value: wire.JobRecord{Zones: rec.Zones}}
+		guards = append(guards, o.c.ledger.guard(op.Put))
+	}
+	o.c.ledger.commit(guards, []wire.Op{op}, func(CommitDone) {
 		o.c.ledger.barrier(func(bool) { q.choosing = false })
 	})
 }
--- a/internal/core/estimator.go
+++ b/internal/core/estimator.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -113,7 +114,7 @@
 	return (x*ownWeight + q.took.mean*q.took.n) / (ownWeight + q.took.n)
 }
 
-// mostFits bounds the names whose owners' estimates are followed.
+// mostFits bounds the names whose durations, and owners' estimates, are followed.
 const mostFits = 1024
 
 // ownWeight is how many completed tasks of a job count as much as what is known of others.
@@ -189,18 +190,25 @@
 	var rec wire.EstimateRecord
 	for _, k := range e.sorted() {
 		m := e.names[k]
-		rec.Means = append(rec.Means, wire.MeanRecord{Team: k.team, Class: k.class, CPUs: k.cpus, GPUs: k.gpus, Mean: m.mean, N: m.n, Last: m.last})
+		// Rounded, so that more of them fit: a prediction is not that good.
+		rec.Means = append(rec.Means, wire.MeanRecord{Team: k.team, Class: k.class, CPUs: k.cpus, GPUs: k.gpus,
+			Mean: math.Round(m.mean*100) / 100, N: m.n, Last: math.Floor(m.last)})
 	}
 	slices.SortStableFunc(rec.Means, func(a, b wire.MeanRecord) int { return cmp.Compare(b.Last, a.Last) })
-	limit := int(c.set.Site.State.ValueKB * 1024 * 3 / 4)
-	for size := jsonSize(&rec); size > limit && len(rec.Means) > 0; size = jsonSize(&rec) {
-		keep := len(rec.Means) * limit / (size + 1)
-		// Here too, or names that never come back would pile up.
-		for _, r := range rec.Means[keep:] {
-			delete(e.names, meanKey{r.Team, r.Class, r.CPUs, r.GPUs})
+	// Names that never come back would pile up here too.
+	for len(rec.Means) > mostFits {
+		r := rec.Means[len(rec.Means)-1]
+		delete(e.names, meanKey{r.Team, r.Class, r.CPUs, r.GPUs})
+		rec.Means = rec.Means[:len(rec.Means)-1]
+	}
+	// What does not fit is known to this leader only.
+	size, fit := 16, 0
+	for ; fit < len(rec.Means); fit++ {
+		if size += wire.TextSize(rec.Means[fit]) + 2; size > c.valueSize() {
+			break
 		}
-		rec.Means = rec.Means[:keep]
 	}
+	rec.Means = rec.Means[:fit]
 	c.ledger.commit([]wire.Guard{c.members.leaderGuard()}, []wire.Op{{Put: keyEstimate, Value: rec}}, func(d CommitDone) {
 		e.saving = false
 		if d.Status != 200 {
@@ -208,12 +216,3 @@
 		}
 	})
 }
-
-// jsonSize bounds a record's size in the form in which limits are counted.
-func jsonSize(r *wire.EstimateRecord) int {
-	n := 16
-	for _, m := range r.Means {
-		n += 160 + len(m.Team) + len(m.Class)
-	}
-	return n
-}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -143,7 +143,7 @@
 	}
 	guards := []wire.Guard{c.members.leaderGuard()}
 	var ops []wire.Op
-	for key, rec := range shelveTypes(f.typesSeen.Types, int(c.set.Site.State.ValueKB*1024)/2) {
+	for key, rec := range shelveTypes(f.typesSeen.Types, c.valueSize()/2) {
 		if _, there := c.ledger.versions[key]; !there && len(ops) < c.register.shelves() {
 			ops = append(ops, wire.Op{Put: key, Value: rec})
 		}
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/chalkhub/chalkhub/internal/config"
+	"github.com/chalkhub/chalkhub/internal/pipeline"
 	"github.com/chalkhub/chalkhub/internal/wire"
 )
 
@@ -22,6 +24,13 @@
 	keyProgress = "c/prog/"
 	keyMachines = "c/rigs/"
 	keyTypes    = "c/types"
+
+	// Versions before Level 1 pass these over.
+	keyRun    = "c/run/"      // jobs that need others
+	keyRunLot = "c/admitted/" // several of them, accepted in one moment
+	keyFine   = "c/fine/"     // progress in smaller blocks
+	keyLong   = "c/long/"     // pieces of jobs' records that are larger than a value
+	keyZones  = "c/zones/"    // zones of jobs whose records can't be written again
 )
 
 // KeyPrefix is what the state client watches.
@@ -31,6 +40,10 @@
 // under 3 KB of text, so it fits the smallest value limit with room to spare.
 const progressBlock = 16384
 
+// fineBlock is how many tasks a key covers where values are smaller than that: some 700
+// bytes of text. What both say is done.
+const fineBlock = 2048
+
 // job is a job in the mirror.
 type job struct {
 	rec     wire.JobRecord
@@ -38,10 +51,28 @@
 	key     uint64         // of its own key, 0: there is none yet
 	done    []wire.TaskSet // by block
 	doneN   int
-	blocks  map[int]uint64 // versions of the progress keys
-	view    wire.JobView   // what the leader says
+	kept    []string     // keys that go with it when it is over: progress, pieces, zones
+	view    wire.JobView // what the leader says
+	run     bool         // its own key is below keyRun
+	late    bool         // became ready while this node led: no leader before gave it a task
+	ready   float64      // time of day when the last job that it needs was done, in seconds
+}
+
+// ownKey is where a job's own record is, or will be.
+func (j *job) ownKey() string {
+	if j.run {
+		return keyRun + j.rec.Spec.ID
+	}
+	return keyJob + j.rec.Spec.ID
 }
 
+// ownGuard ties a write to what the mirror holds of the job's own record.
+func (j *job) ownGuard() wire.Guard { return wire.Guard{Key: j.ownKey(), Version: j.key} }
+
+// since is the time of day, in seconds, from which a job's waiting counts: its submission,
+// or when the last job that it needs was done.
+func (j *job) since() float64 { return max(j.rec.At, j.ready) }
+
 func (j *job) final() bool { return j.rec.State != wire.JobQueued }
 
 func (j *job) isDone(i int) bool {
@@ -53,6 +84,7 @@
 type ledger struct {
 	c        *Core
 	loading  bool
+	sweeping bool // what jobs have left behind is being deleted
 	ready    bool // the mirror holds everything up to revision
 	revision uint64
 	freshAt  time.Duration // when the newest answered watch left
@@ -71,6 +103,11 @@
 	jobs     map[string]*job   // that are not over
 	ended    *archive
 	lots     *lots
+	pipes    *pipeline.Graph
+	derived  map[string]bool              // aborted because of another one, known from a lot alone
+	leavings map[string]bool              // keys of jobs that are over, to be deleted
+	pieces   map[string]map[string]string // of long records, by job and key
+	long     *longs
 	nodes    map[string]wire.NodeRecord
 	leader   *wire.LeaderRecord
 	mapRec   *wire.MapRecord
@@ -90,7 +127,7 @@
 }
 
 func newLedger(c *Core) *ledger {
-	l := &ledger{c: c, commits: map[uint64]func(CommitDone){}, lots: newLots(c)}
+	l := &ledger{c: c, commits: map[uint64]func(CommitDone){}, lots: newLots(c), long: &longs{c: c}}
 	l.reset() // a worker's report may come before the first page
 	return l
 }
@@ -98,6 +135,8 @@
 func (l *ledger) reset() {
 	l.versions = map[string]uint64{}
 	l.jobs, l.ended = map[string]*job{}, newArchive(l.c.floors)
+	l.pipes, l.derived = pipeline.New(), map[string]bool{}
+	l.leavings, l.pieces = map[string]bool{}, map[string]map[string]string{}
 	clear(l.lots.known)
 	l.nodes = map[string]wire.NodeRecord{}
 	l.leader, l.mapRec, l.estimate = nil, nil, nil
@@ -165,6 +204,7 @@
 	for _, it := range d.Items {
 		l.put(it.Key, it.Value, it.Version)
 	}
+	l.settle()
 	if d.More && len(d.Items) > 0 {
 		l.loadFrom = d.Items[len(d.Items)-1].Key
 		l.loadAt = l.pacedBy(l.c.times.page, l.loadAt, again)
@@ -207,6 +247,7 @@
 				l.remove(e.Delete, e.Version)
 			}
 		}
+		l.settle()
 		l.revision = max(l.revision, d.Answer.Revision)
 		l.freshAt = max(l.freshAt, d.Sent)
 	case 410:
@@ -291,40 +332,21 @@
 	var err error
 	switch {
 	case strings.HasPrefix(key, keyJob):
-		var rec wire.JobRecord
-		if err = wire.Decode(value, &rec); err == nil {
-			id := key[len(keyJob):]
-			if e, ok := l.ended.jobs[id]; ok {
-				if version > e.version && rec.State != wire.JobQueued {
-					l.ended.put(&rec, version)
-				}
-				return
-			}
-			j := l.job(id)
-			if j.version > version {
-				return
-			}
-			over := !j.final() && rec.State != wire.JobQueued
-			j.rec, j.version, j.key = rec, version, version
-			if j.final() {
-				if rec.State == wire.JobDone {
-					j.doneN = rec.Spec.Tasks
-				}
-				j.done = nil
-			}
-			l.c.orch.jobChanged(j)
-			if over {
-				l.c.part.jobOver(j)
-				l.ended.put(&rec, version)
-				delete(l.jobs, id)
-			}
-		}
-		l.report(key, err)
+		l.report(key, l.putJob(key[len(keyJob):], false, value, version))
+		return
+	case strings.HasPrefix(key, keyRun):
+		l.report(key, l.putJob(key[len(keyRun):], true, value, version))
 		return
-	case strings.HasPrefix(key, keyLot):
+	case strings.HasPrefix(key, keyLot), strings.HasPrefix(key, keyRunLot):
 		err = l.lots.put(key, value, version)
 	case strings.HasPrefix(key, keyProgress):
-		err = l.putProgress(key[len(keyProgress):], value, version)
+		err = l.putProgress(key, key[len(keyProgress):], progressBlock, value)
+	case strings.HasPrefix(key, keyFine):
+		err = l.putProgress(key, key[len(keyFine):], fineBlock, value)
+	case strings.HasPrefix(key, keyLong):
+		err = l.putPiece(key, value)
+	case strings.HasPrefix(key, keyZones):
+		err = l.putZones(key, value)
 	case strings.HasPrefix(key, keyNode):
 		var rec wire.NodeRecord
 		if err = wire.Decode(value, &rec); err == nil {
@@ -360,16 +382,69 @@
 	l.versions[key] = version
 }
 
+// putJob takes a job's own record into the mirror.
+func (l *ledger) putJob(id string, run bool, value wire.Raw, version uint64) error {
+	var rec wire.JobRecord
+	if err := wire.Decode(value, &rec); err != nil {
+		return err
+	}
+	if e, ok := l.ended.jobs[id]; ok {
+		if version > e.version && rec.State != wire.JobQueued {
+			l.ended.put(&rec, version)
+			delete(l.derived, id)
+		}
+		return nil
+	}
+	j := l.job(id)
+	if j.version > version || j.key == version {
+		return nil // nothing new: the pieces of a long record are read once
+	}
+	if rec.Pieces > 0 {
+		if err := l.join(&rec); err != nil {
+			return err
+		}
+	}
+	if len(rec.Zones) == 0 {
+		rec.Zones = j.rec.Zones // they may have a key of their own
+	}
+	over := !j.final() && rec.State != wire.JobQueued
+	j.rec, j.version, j.key, j.run = rec, version, version, run
+	if j.final() {
+		if rec.State == wire.JobDone {
+			j.doneN = rec.Spec.Tasks
+		}
+		j.done = nil
+	}
+	l.met(j)
+	if over {
+		l.over(j)
+	}
+	return nil
+}
+
+// over moves a job that has ended to the archive.
+func (l *ledger) over(j *job) {
+	id := j.rec.Spec.ID
+	for _, key := range j.kept {
+		l.leavings[key] = true
+	}
+	l.c.part.jobOver(j)
+	l.ended.put(&j.rec, j.version)
+	delete(l.jobs, id)
+	l.pipes.Over(id, j.rec.State == wire.JobDone, j.rec.Over)
+}
+
 func (l *ledger) report(key string, err error) {
 	if err != nil {
 		l.c.emit(Log{Level: LevelError, Text: "cannot read a key of the state service", Args: []any{"key", key, "error", err}})
 	}
 }
 
-func (l *ledger) putProgress(name string, value wire.Raw, version uint64) error {
+// putProgress takes a block of a job's completed tasks, so many to a block.
+func (l *ledger) putProgress(key, name string, tasks int, value wire.Raw) error {
 	id, num, _ := strings.Cut(name, "/")
-	block, err := strconv.Atoi(num)
-	if err != nil || block < 0 || block > wire.MaxTasks/progressBlock {
+	n, err := strconv.Atoi(num)
+	if err != nil || n < 0 || n > wire.MaxTasks/tasks {
 		return fmt.Errorf("progress key %q", name)
 	}
 	var rec wire.ProgressRecord
@@ -380,23 +455,33 @@
 	if err != nil {
 		return err
 	}
-	if _, over := l.ended.jobs[id]; over {
+	j := l.keeps(id, key)
+	if j == nil {
 		return nil
 	}
-	j := l.job(id)
-	if j.blocks == nil {
-		j.blocks = map[int]uint64{}
-	}
-	j.blocks[block] = version
+	block, first := n*tasks/progressBlock, n*tasks%progressBlock
 	for block >= len(j.done) {
 		j.done = append(j.done, nil)
 	}
-	j.doneN += set.Len() - j.done[block].Len()
-	j.done[block] = set
+	// A task that was done stays so, whichever key says it.
+	j.doneN += j.done[block].Join(set, first/8)
 	l.c.orch.progressed(id)
 	return nil
 }
 
+// keeps notes a key that goes with a job when it is over; nil: it is already.
+func (l *ledger) keeps(id, key string) *job {
+	if _, over := l.ended.jobs[id]; over {
+		l.leavings[key] = true
+		return nil
+	}
+	j := l.job(id)
+	if !slices.Contains(j.kept, key) {
+		j.kept = append(j.kept, key)
+	}
+	return j
+}
+
 func (l *ledger) job(id string) *job {
 	j := l.jobs[id]
 	if j == nil {
@@ -415,15 +500,15 @@
 	switch {
 	case strings.HasPrefix(key, keyNode):
 		delete(l.nodes, key[len(keyNode):])
-	case strings.HasPrefix(key, keyLot):
+	case strings.HasPrefix(key, keyLot), strings.HasPrefix(key, keyRunLot):
 		delete(l.lots.known, key)
 	case strings.HasPrefix(key, keyMachines):
 		l.removeMachines(key[len(keyMachines):])
-	case strings.HasPrefix(key, keyProgress):
-		id, num, _ := strings.Cut(key[len(keyProgress):], "/")
-		if b, err := strconv.Atoi(num); err == nil && l.jobs[id] != nil {
-			delete(l.jobs[id].blocks, b)
-		}
+	case strings.HasPrefix(key, keyProgress), strings.HasPrefix(key, keyFine), strings.HasPrefix(key, keyZones):
+		delete(l.leavings, key)
+	case strings.HasPrefix(key, keyLong):
+		delete(l.leavings, key)
+		l.dropPiece(key)
 	case key == keyLeader:
 		l.leader = nil
 	}
@@ -454,6 +539,9 @@
 	if !j.final() {
 		a.Running = j.view.Running
 		a.Reason = j.view.Reason
+		if l.pipes.Waits(a.ID) {
+			a.Reason = l.waitsFor(a.ID)
+		}
 		if a.Running > 0 {
 			a.State = wire.JobRunning
 		}
@@ -504,16 +592,43 @@
 		l.c.emit(Reply{ID: id, Status: 422, Body: wire.ErrorAnswer{Error: why}})
 		return
 	}
-	key := keyJob + spec.ID
 	rec := wire.JobRecord{Spec: spec, State: wire.JobQueued, At: l.c.now.Wall}
+	if len(spec.Needs) > 0 {
+		l.submitBehind(id, rec, false)
+		return
+	}
+	l.accept(id, rec, false)
+}
+
+// freeGuards hold as long as nobody has accepted a job. Whoever names jobs that it needs
+// may be kept below either prefix, as those were over or not when it was looked at.
+func freeGuards(id string, needy bool) []wire.Guard {
+	guards := []wire.Guard{{Key: keyJob + id}}
+	if needy {
+		guards = append(guards, wire.Guard{Key: keyRun + id})
+	}
+	return guards
+}
+
+// accept writes a submission; needy: its user named jobs that it needs.
+func (l *ledger) accept(id RequestID, rec wire.JobRecord, needy bool) {
+	spec := rec.Spec
+	if wire.TextSize(rec) > l.c.valueSize()-lotSize {
+		l.long.accept(id, rec)
+		return
+	}
 	if !l.lots.alone() {
-		l.lots.add(id, rec)
+		l.lots.add(id, rec, needy)
 		return
 	}
-	l.commit([]wire.Guard{{Key: key}}, []wire.Op{{Put: key, Value: rec}}, func(d CommitDone) {
+	key := keyJob + spec.ID
+	if len(spec.Needs) > 0 {
+		key = keyRun + spec.ID
+	}
+	l.commit(freeGuards(spec.ID, needy), []wire.Op{{Put: key, Value: rec}}, func(d CommitDone) {
 		switch d.Status {
 		case 200:
-			l.welcome(id, &spec)
+			l.welcome(id, &rec)
 		case 409:
 			l.known(id, spec.ID) // another node was first, or an earlier try of ours
 		case 0:
@@ -522,7 +637,7 @@
 			l.barrier(func(ok bool) { l.uncertain(id, spec.ID, ok) })
 		case 429:
 			l.lots.tokens = 0
-			l.lots.add(id, rec) // once more, with others
+			l.lots.add(id, rec, needy) // once more, with others
 		default:
 			l.later(id, "the state service is busy")
 		}
@@ -530,10 +645,11 @@
 }
 
 // welcome tells a user that a job is accepted.
-func (l *ledger) welcome(id RequestID, s *wire.Job) {
+func (l *ledger) welcome(id RequestID, rec *wire.JobRecord) {
+	s := &rec.Spec
 	l.c.debugf("accepted", "job", s.ID, "class", s.Class, "team", s.Team, "urgency", s.Urgency,
 		"tasks", s.Tasks, "cpus", s.CPUs, "estimate", s.EstimateS, "checkpoint", s.CheckpointS)
-	l.c.emit(Reply{ID: id, Status: 201, Body: wire.JobAnswer{ID: s.ID, State: wire.JobQueued}})
+	l.c.emit(Reply{ID: id, Status: 201, Body: wire.JobAnswer{ID: s.ID, State: rec.State, Reason: rec.Bad}})
 }
 
 // uncertain answers a submission whose write had no answer, once the mirror has been read.
@@ -599,8 +715,7 @@
 			return
 		}
 		rec := finalRecord(j, wire.JobCancelled, "cancelled by its user")
-		guards := []wire.Guard{{Key: keyJob + ref, Version: j.key}}
-		l.commit(guards, l.finalOps(j, rec), func(d CommitDone) {
+		l.commit([]wire.Guard{j.ownGuard()}, l.finalOps(j, rec), func(d CommitDone) {
 			switch {
 			case d.Status == 200:
 				l.tell(ref, d.Answer.Revision)
@@ -624,16 +739,38 @@
 	}
 }
 
-// finalOps writes a job's final state and drops its progress, as far as one
+// finalOps writes a job's final state and drops what else is kept of it, as far as one
 // transaction goes.
 func (l *ledger) finalOps(j *job, rec wire.JobRecord) []wire.Op {
-	ops := []wire.Op{{Put: keyJob + rec.Spec.ID, Value: rec}}
-	for b := 0; b <= wire.MaxTasks/progressBlock; b++ {
-		if j.blocks[b] > 0 && len(ops) < l.c.txnOps() {
-			ops = append(ops, wire.Op{Delete: progressKey(rec.Spec.ID, b)})
-		}
+	ops := []wire.Op{{Put: j.ownKey(), Value: rec}}
+	for _, key := range j.kept[:min(len(j.kept), l.c.txnOps()-1)] {
+		ops = append(ops, wire.Op{Delete: key})
 	}
 	return ops
 }
 
-func progressKey(id string, block int) string { return keyProgress + id + "/" + strconv.Itoa(block) }
+// sweep deletes, on the leader, what jobs that are over have left behind.
+func (l *ledger) sweep() {
+	c := l.c
+	if l.sweeping || len(l.leavings) == 0 {
+		return
+	}
+	guards := []wire.Guard{c.members.leaderGuard()}
+	var ops []wire.Op
+	for _, key := range sortedKeys(l.leavings) {
+		if l.versions[key] == 0 {
+			delete(l.leavings, key)
+		} else if len(ops) < c.txnOps() && c.orch.writes >= 1 {
+			c.orch.writes--
+			guards = append(guards, l.guard(key))
+			ops = append(ops, wire.Op{Delete: key})
+		}
+	}
+	if len(ops) == 0 {
+		return
+	}
+	l.sweeping = true
+	l.commit(guards, ops, func(d CommitDone) {
+		l.lookAgain(d.Status == 200 || d.Status == 409, c.times.round, func() { l.sweeping = false })
+	})
+}
--- a/internal/core/lots.go
+++ b/internal/core/lots.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/chalkhub/chalkhub/internal/wire"
@@ -32,8 +33,10 @@
 
 // submission is a job that waits to be accepted with others.
 type submission struct {
-	id  RequestID
-	rec wire.JobRecord
+	id    RequestID
+	rec   wire.JobRecord
+	needy bool // its user named jobs that it needs
+	size  int  // of the record, as text
 }
 
 // lot is a key that holds several jobs.
@@ -47,7 +50,7 @@
 // rate is how many writes a second this node's submissions may take: its share of what
 // progress leaves.
 func (x *lots) rate() float64 {
-	return x.c.set.Site.State.WriteRPS * (1 - x.c.policy.ProgressShare) / float64(len(x.c.set.Siblings)+1)
+	return x.c.state.WriteRPS * (1 - x.c.policy.ProgressShare) / float64(len(x.c.set.Siblings)+1)
 }
 
 // spend takes a write, and says how long until one may be taken if there is none.
@@ -66,8 +69,8 @@
 func (x *lots) alone() bool { return len(x.waiting) == 0 && x.spend() == 0 }
 
 // add has a job accepted with the next lot.
-func (x *lots) add(id RequestID, rec wire.JobRecord) {
-	x.waiting = append(x.waiting, submission{id, rec})
+func (x *lots) add(id RequestID, rec wire.JobRecord, needy bool) {
+	x.waiting = append(x.waiting, submission{id, rec, needy, wire.TextSize(rec) + 1})
 	x.flush()
 }
 
@@ -81,45 +84,63 @@
 		x.c.after(wait, func() { x.due = false; x.flush() })
 		return
 	}
-	// Half a value, and half of the conditions that a transaction may have.
-	set := &x.c.set.Site.State
-	k, size := 0, 0
-	for k < len(x.waiting) && k < 2*set.TxnOps {
-		if size += jobSize(&x.waiting[k].rec.Spec); k > 0 && size > int(min(set.ValueKB, 32)*1024)/2 {
-			break
+	// What fits into a value, and half of the conditions that a transaction may have.
+	// Jobs that need others go into lots of their own, which older versions do not read.
+	var batch, rest []submission
+	size, guards := 16, 1
+	for i := range x.waiting {
+		s := &x.waiting[i]
+		if len(batch) > 0 && (s.prefix() != batch[0].prefix() || size+s.size > min(x.c.valueSize(), 32<<10) || guards+s.guards() > 2*x.c.state.TxnOps) {
+			rest = append(rest, *s)
+			continue
 		}
-		k++
+		batch = append(batch, *s)
+		size, guards = size+s.size, guards+s.guards()
 	}
-	batch := slices.Clone(x.waiting[:k])
-	x.waiting = slices.Delete(x.waiting, 0, k)
+	x.waiting = rest
 	x.write(batch)
 	x.flush()
 }
 
+// prefix is where a submission's lot goes.
+func (s *submission) prefix() string {
+	if len(s.rec.Spec.Needs) > 0 {
+		return keyRunLot
+	}
+	return keyLot
+}
+
+func (s *submission) guards() int {
+	if s.needy {
+		return 2
+	}
+	return 1
+}
+
 func (x *lots) write(batch []submission) {
 	l := x.c.ledger
 	x.n++
-	key := fmt.Sprintf("%s%s-%d", keyLot, x.c.boot, x.n)
+	key := fmt.Sprintf("%s%s-%d", batch[0].prefix(), x.c.boot, x.n)
 	guards := []wire.Guard{{Key: key}}
 	var rec wire.LotRecord
 	for i := range batch {
-		own := wire.Guard{Key: keyJob + batch[i].rec.Spec.ID}
-		if slices.Contains(guards, own) {
+		own := freeGuards(batch[i].rec.Spec.ID, batch[i].needy)
+		if slices.Contains(guards, own[0]) {
 			continue // the same submission twice
 		}
-		guards = append(guards, own)
+		guards = append(guards, own...)
 		rec.Jobs = append(rec.Jobs, batch[i].rec)
 	}
 	l.commit(guards, []wire.Op{{Put: key, Value: rec}}, func(d CommitDone) {
 		switch d.Status {
 		case 200:
 			for i := range batch {
-				l.welcome(batch[i].id, &batch[i].rec.Spec)
+				l.welcome(batch[i].id, &batch[i].rec)
 			}
 		case 409:
 			// Some have been accepted, and more, elsewhere: the others go on.
 			for _, s := range batch {
-				if slices.Contains(d.Answer.Failed, keyJob+s.rec.Spec.ID) {
+				if id := s.rec.Spec.ID; slices.Contains(d.Answer.Failed, keyJob+id) || slices.Contains(d.Answer.Failed, keyRun+id) {
 					l.known(s.id, s.rec.Spec.ID)
 				} else {
 					x.waiting = append(x.waiting, s)
@@ -140,15 +161,6 @@
 	})
 }
 
-// jobSize is a generous size of a job's record in the form in which limits are counted.
-func jobSize(s *wire.Job) int {
-	n := 500 + len(s.ID) + len(s.Class) + len(s.Team) + len(s.Image) + len(s.Zone)
-	for _, t := range s.Types {
-		n += len(t) + 3
-	}
-	return n
-}
-
 // put takes a lot into the mirror.
 func (x *lots) put(key string, value wire.Raw, version uint64) error {
 	var rec wire.LotRecord
@@ -163,8 +175,8 @@
 			continue
 		}
 		if j := l.job(id); j.version == 0 {
-			j.rec, j.version = rec.Jobs[i], version
-			x.c.orch.jobChanged(j)
+			j.rec, j.version, j.run = rec.Jobs[i], version, strings.HasPrefix(key, keyRunLot)
+			l.met(j)
 		}
 	}
 	x.known[key] = in
@@ -182,7 +194,7 @@
 		in := x.known[key]
 		needed := slices.ContainsFunc(in.jobs, func(id string) bool {
 			j := c.ledger.jobs[id]
-			return j != nil && j.key == 0
+			return j != nil && j.key == 0 || c.ledger.derived[id]
 		})
 		if needed || c.orch.writes < 1 {
 			continue
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -119,7 +119,7 @@
 	}
 	if c.ledger.nodes[c.set.Label].Boot != c.boot {
 		key := keyNode + c.set.Label
-		m.write(nil, wire.Op{Put: key, Value: wire.NodeRecord{Boot: c.boot}, Lease: m.lease})
+		m.write(nil, wire.Op{Put: key, Value: wire.NodeRecord{Boot: c.boot, Level: wire.Level}, Lease: m.lease})
 		return
 	}
 	// A leader that was restarted takes its own key over at once: its former
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -34,6 +34,8 @@
 	in       bool          // within its team's guarantee
 	turn     floor.Turn    // its class's turn, whatever its urgency
 	held     bool          // its class is short: its tasks are not stopped for others
+	urg      int           // its urgency, or that of the most urgent job that needs it
+	latest   float64       // time of day by which it is to be done for those to be in time, +Inf: no matter
 	keptAt   time.Duration // since when its limit or machines are kept for it, 0: they are not
 	stopped  map[int]bool  // tasks that were stopped: what is left of them says nothing of their duration
 	stops    int
@@ -44,7 +46,7 @@
 
 func newQueued(j *job) *queued {
 	return &queued{
-		j: j, id: j.rec.Spec.ID, flights: map[int]*flight{}, finished: map[int]bool{},
+		j: j, id: j.rec.Spec.ID, urg: urgency(j.rec.Spec.Urgency), latest: math.Inf(1), flights: map[int]*flight{}, finished: map[int]bool{},
 		hold: map[int]time.Duration{}, blame: blame{on: map[string]bool{}}, stopped: map[int]bool{},
 	}
 }
@@ -77,6 +79,7 @@
 	epochAt      time.Duration // when this leader entered the epoch
 	startRev     uint64        // jobs newer than this were never dispatched before us
 	againRev     uint64        // the mirror's when it was last read anew while we led
+	weighedAt    time.Duration // when the weights of pipelines were last worked out
 	parts        map[string]*partView
 	sessions     map[uint64]string // session -> label, "" before hello
 	rigs         *index[*rigView]
@@ -119,14 +122,17 @@
 	// Guards against a leader that had to read everything anew: what came after its own
 	// key was written it may have dispatched itself, before its books were gone.
 	o.startRev = max(o.c.ledger.versions[keyLeader], o.againRev)
+	o.weighedAt = 0
 	o.clear()
 	o.lastRound = 0
 	o.writesAt = o.c.now.Steady
-	o.writes = o.c.set.Site.State.WriteRPS / 4
+	o.writes = o.c.state.WriteRPS / 4
 	if on {
 		o.c.est.load()
 		for _, id := range sortedKeys(o.c.ledger.jobs) {
-			o.jobChanged(o.c.ledger.jobs[id])
+			j := o.c.ledger.jobs[id]
+			j.late = false // so it was to a leader before us, ourselves perhaps
+			o.jobChanged(j)
 		}
 		o.c.fleet.start()
 		o.c.fleet.recall()
@@ -146,6 +152,9 @@
 		return
 	}
 	id := j.rec.Spec.ID
+	if o.c.ledger.pipes.Waits(id) {
+		return // it holds nothing, and comes again once it is ready
+	}
 	q := o.queue.get(id)
 	if j.final() {
 		delete(o.unsaved, id)
@@ -157,7 +166,7 @@
 	}
 	if q == nil {
 		q = newQueued(j)
-		q.limbo = j.version <= o.startRev
+		q.limbo = j.version <= o.startRev && !j.late
 		o.doubt = o.doubt || q.limbo
 		o.queue.set(id, q)
 		o.c.est.came(&j.rec.Spec)
@@ -243,6 +252,8 @@
 			o.c.fleet.want(ranked, waiting)
 			o.c.est.save()
 			o.c.ledger.lots.sweep()
+			o.c.ledger.long.sweep()
+			o.c.ledger.sweep()
 			o.tell()
 		}
 	}
--- a/internal/core/pictures.go
+++ b/internal/core/pictures.go
@@ -284,7 +284,7 @@
 	f.machine, f.part, f.limbo, f.open, f.attempt, f.state = s.Name, p.label, false, false, t.Attempt, t.State
 	if t.State == wire.TaskRunning && f.runAt == 0 {
 		f.runAt = o.c.now.Steady
-		wait := (o.c.now.Wall - j.rec.At) * 1000
+		wait := (o.c.now.Wall - j.since()) * 1000
 		_ = o.waits[urgency(j.rec.Spec.Urgency)].RecordValue(min(max(int64(wait), 1), maxWait)) // within bounds
 	}
 }
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -122,10 +122,10 @@
 // stop asks for a task to be stopped for the sake of a job.
 func (o *orchestrator) stop(v *victim, q *queued) {
 	why := "tasks stopped to make room for more urgent work"
-	if urgency(v.f.job.j.rec.Spec.Urgency) <= urgency(q.j.rec.Spec.Urgency) {
+	if v.f.job.urg <= q.urg {
 		why = "tasks stopped to give another team its guarantee"
 	}
-	o.ask(v.m.part, v.f, wire.TaskStop{Task: v.name, Machine: v.m.name, Why: why, Now: o.hurries(q)}, urgency(q.j.rec.Spec.Urgency))
+	o.ask(v.m.part, v.f, wire.TaskStop{Task: v.name, Machine: v.m.name, Why: why, Now: o.hurries(q)}, q.urg)
 	v.m.made, v.m.due = true, min(v.f.askedFor, v.m.due)
 }
 
@@ -145,11 +145,11 @@
 
 // yields reports whether the tasks of one job may be stopped for another.
 func (o *orchestrator) yields(victim, q *queued) bool {
-	v, s := &victim.j.rec.Spec, &q.j.rec.Spec
+	v := &victim.j.rec.Spec
 	if victim == q || v.Kind == wire.KindService || victim.held || !q.before(victim) {
 		return false
 	}
-	if urgency(v.Urgency) > urgency(s.Urgency) {
+	if victim.urg > q.urg {
 		// Never those that may stop its own tasks in turn.
 		return (o.hurries(q) || o.promised(q)) && !o.reclaims(victim, q)
 	}
@@ -168,7 +168,7 @@
 }
 
 // hurries reports whether a job's tasks should start at once.
-func (o *orchestrator) hurries(q *queued) bool { return urgency(q.j.rec.Spec.Urgency) <= 1 }
+func (o *orchestrator) hurries(q *queued) bool { return q.urg <= 1 }
 
 // promised reports whether a job has a deadline that its class is held to.
 func (o *orchestrator) promised(q *queued) bool {
--- a/internal/core/progress.go
+++ b/internal/core/progress.go
@@ -1,7 +1,10 @@
 package core
 
 import (
+	"math"
+	"slices"
 	"sort"
+	"strconv"
 
 	"github.com/chalkhub/chalkhub/internal/wire"
 )
@@ -10,7 +13,7 @@
 // progress, as far as the write budget goes.
 func (o *orchestrator) save() {
 	c := o.c
-	rate := c.set.Site.State.WriteRPS * c.policy.ProgressShare
+	rate := c.state.WriteRPS * c.policy.ProgressShare
 	o.writes = min(o.writes+(c.now.Steady-o.writesAt).Seconds()*rate, rate)
 	o.writesAt = c.now.Steady
 	var partly []*queued
@@ -42,33 +45,55 @@
 func (o *orchestrator) end(q *queued) {
 	q.ending = true
 	j := q.j
-	guards := []wire.Guard{o.c.members.leaderGuard(), {Key: keyJob + q.id, Version: j.key}}
-	o.c.ledger.commit(guards, o.c.ledger.finalOps(j, finalRecord(j, wire.JobDone, "")), func(d CommitDone) {
+	rec := finalRecord(j, wire.JobDone, "")
+	rec.Over = math.Floor(o.c.now.Wall) // as the archive keeps it, so that it is the same for every leader
+	guards := []wire.Guard{o.c.members.leaderGuard(), j.ownGuard()}
+	o.c.ledger.commit(guards, o.c.ledger.finalOps(j, rec), func(d CommitDone) {
 		o.c.ledger.lookAgain(d.Status == 200 || d.Status == 409, o.c.times.round/4, func() { q.ending = false })
 	})
 }
 
+// fullBlock is how many bytes a whole block of progress takes, in the form in which limits
+// are counted.
+const fullBlock = progressBlock/8*4/3 + 64
+
+// doneIn is which of a job's tasks are durably done, of size from a first one on: both
+// whole bytes of the sets.
+func (j *job) doneIn(first, size int) wire.TaskSet {
+	b, at := first/progressBlock, first%progressBlock/8
+	if b >= len(j.done) || at >= len(j.done[b]) {
+		return nil
+	}
+	s := j.done[b][at:]
+	return slices.Clone(s[:min(len(s), size/8)])
+}
+
 func (o *orchestrator) progress(q *queued) {
+	size, prefix := progressBlock, keyProgress
+	if o.c.valueSize() < fullBlock && q.j.rec.Spec.Tasks > fineBlock {
+		size, prefix = fineBlock, keyFine
+	}
 	sets := map[int]wire.TaskSet{}
 	for i := range q.finished {
-		b := i / progressBlock
-		if sets[b] == nil && b < len(q.j.done) {
-			sets[b] = append(wire.TaskSet(nil), q.j.done[b]...)
+		b := i / size
+		if sets[b] == nil {
+			sets[b] = q.j.doneIn(b*size, size)
 		}
 		s := sets[b]
-		s.Add(i % progressBlock)
+		s.Add(i % size)
 		sets[b] = s
 	}
 	q.saveAt = 0
 	// The guard on the job's key keeps progress from outliving the job, those on
 	// the blocks keep a write that is applied late from taking back what a later
 	// one has added: a task was once missing from both and never started again.
-	guards := []wire.Guard{o.c.members.leaderGuard(), {Key: keyJob + q.id, Version: q.j.key}}
+	guards := []wire.Guard{o.c.members.leaderGuard(), q.j.ownGuard()}
 	var ops []wire.Op
-	for b := range wire.MaxTasks/progressBlock + 1 {
-		if s := sets[b]; s != nil && len(ops) < o.c.txnOps() {
-			guards = append(guards, o.c.ledger.guard(progressKey(q.id, b)))
-			ops = append(ops, wire.Op{Put: progressKey(q.id, b), Value: wire.ProgressRecord{Bits: s.Text()}})
+	for _, b := range sortedKeys(sets) {
+		if len(ops) < o.c.txnOps() {
+			key := prefix + q.id + "/" + strconv.Itoa(b)
+			guards = append(guards, o.c.ledger.guard(key))
+			ops = append(ops, wire.Op{Put: key, Value: wire.ProgressRecord{Bits: sets[b].Text()}})
 		}
 	}
 	o.writes -= float64(len(ops))
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -59,7 +59,7 @@
 	for i := range o.c.set.Site.Teams {
 		t := &o.c.set.Site.Teams[i]
 		jobs := byTeam[t.Name]
-		slices.SortStableFunc(jobs, func(a, b *queued) int { return cmp.Compare(a.j.rec.At, b.j.rec.At) })
+		slices.SortStableFunc(jobs, func(a, b *queued) int { return cmp.Compare(a.j.since(), b.j.since()) })
 		var cpus, gpus float64
 		for _, q := range jobs {
 			s := &q.j.rec.Spec
--- a/internal/core/rank.go
+++ b/internal/core/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/chalkhub/chalkhub/internal/wire"
@@ -13,6 +14,7 @@
 func (o *orchestrator) rank() []*queued {
 	o.guarantees()
 	o.c.est.refresh()
+	o.weigh()
 	var jobs []*queued
 	for _, q := range o.queue.all() {
 		if q.j.final() || q.ending {
@@ -29,6 +31,10 @@
 		if ran := q.longest.Seconds(); ran > 2*q.pred && q.j.rec.Spec.Kind != wire.KindService {
 			q.pred = ran
 		}
+		q.urg, q.latest = urgency(q.j.rec.Spec.Urgency), math.Inf(1)
+		if w, ok := o.c.ledger.pipes.Weight(q.id); ok {
+			q.urg, q.latest = min(q.urg, w.Urgency), w.Latest
+		}
 		q.band, q.size = o.order(q)
 		jobs = append(jobs, q)
 	}
@@ -54,7 +60,7 @@
 // stopped for, and was stopped again, once a round.
 func (o *orchestrator) order(q *queued) (band int, size float64) {
 	s := &q.j.rec.Spec
-	u := urgency(s.Urgency)
+	u := q.urg
 	switch {
 	case s.Kind == wire.KindService:
 		band = u - 10
@@ -66,7 +72,7 @@
 		band = 10 + u
 	}
 	size = width(s)
-	aged := 1 + max(o.c.now.Wall-q.j.rec.At, 0)/(o.c.policy.AgingLeases*o.c.times.lease.Seconds())
+	aged := 1 + max(o.c.now.Wall-q.j.since(), 0)/(o.c.policy.AgingLeases*o.c.times.lease.Seconds())
 	if s.Kind != wire.KindService {
 		// All that is left of a job, as the paper counts all GPUs of a job. By a
 		// task's product alone the jobs of one name tie, their age decides, and
--- a/internal/core/register.go
+++ b/internal/core/register.go
@@ -20,20 +20,44 @@
 	sweepAt time.Duration // when what is gone may be taken out again
 }
 
-// shelfSize is how many machines one key holds: half of what a value may, by a
-// generous size of a machine's record.
-func (g *register) shelfSize() int {
-	const record = 160
-	return max(int(g.c.set.Site.State.ValueKB*1024)/2/record, 1)
+// shelfMost bounds a shelf where values may be large: the whole of it is written whenever
+// one of its machines comes or goes.
+const shelfMost = 8 << 10
+
+// shelfSize is how many bytes of machines' records one key holds, by recordSize.
+func (g *register) shelfSize() int { return min(g.c.valueSize()*3/4, shelfMost) }
+
+// recordSize is how many bytes a machine takes on its shelf, in the form in which limits
+// are counted, or a few more.
+func recordSize(name string, m *wire.MachineRecord) int {
+	return 64 + len(name) + len(m.Addr) + len(m.Type) + len(m.Zone)
+}
+
+// filled is how many bytes a shelf of the mirror takes.
+func (g *register) filled(shelf string) (n int) {
+	l := g.c.ledger
+	for _, name := range l.shelves.get(shelf) {
+		n += recordSize(name, l.machines.get(name))
+	}
+	return n
 }
 
-// shelves is how many keys one transaction may change: half of the 64 KiB that a
-// transaction may have, and what the settings allow.
+// shelves is how many keys one transaction may change: what the settings allow, and
+// three quarters of the 64 KiB that a transaction may have.
 func (g *register) shelves() int {
-	return max(min(g.c.txnOps(), int(64/g.c.set.Site.State.ValueKB)), 1)
+	return max(min(g.c.txnOps(), 48<<10/g.shelfSize()), 1)
+}
+
+// edition is a shelf as it is to be written.
+type edition struct {
+	machines map[string]wire.MachineRecord
+	size     int
 }
 
 // step writes what has come up since, and takes out what is gone.
+//
+// A shelf that is larger than a value may be by now can't be written any more. Its machines
+// are put on others, where they stand twice for a while, and then it is deleted whole.
 func (g *register) step() {
 	c := g.c
 	if g.writing {
@@ -50,34 +74,68 @@
 		return
 	}
 	g.sweepAt = c.now.Steady + c.times.round
-	changed := map[string]map[string]wire.MachineRecord{}
-	edit := func(shelf string) map[string]wire.MachineRecord {
+	record := func(name string) wire.MachineRecord {
+		if m := c.ledger.machines.get(name); m != nil {
+			return *m
+		}
+		s := c.orch.rigs.get(name).state
+		return wire.MachineRecord{Addr: s.Addr, Type: s.Type, Zone: s.Zone, Spot: s.Spot}
+	}
+	goes := func(name string) bool { return c.fleet.wasDeleted(name) || c.fleet.withdraws(name) }
+	filled, large := map[string]int{}, map[string]bool{}
+	for shelf := range c.ledger.shelves.all() {
+		filled[shelf] = g.filled(shelf)
+		large[shelf] = filled[shelf] > c.valueSize()
+	}
+	changed := map[string]*edition{}
+	edit := func(shelf string) *edition {
 		if changed[shelf] == nil {
-			changed[shelf] = map[string]wire.MachineRecord{}
+			changed[shelf] = &edition{machines: map[string]wire.MachineRecord{}, size: filled[shelf]}
 			for _, name := range c.ledger.shelves.get(shelf) {
-				changed[shelf][name] = *c.ledger.machines.get(name)
+				changed[shelf].machines[name] = record(name)
 			}
 		}
 		return changed[shelf]
 	}
+	elsewhere := g.elsewhere(large)
 	for shelf, names := range c.ledger.shelves.all() {
+		left := 0
 		for _, name := range names {
-			if (c.fleet.wasDeleted(name) || c.fleet.withdraws(name)) && (changed[shelf] != nil || len(changed) < g.shelves()) {
-				delete(edit(shelf), name)
+			switch {
+			case large[shelf] && !goes(name) && !elsewhere[name]:
+				left++
+				come = append(come, name)
+			case large[shelf]:
+			case goes(name) && (changed[shelf] != nil || len(changed) < g.shelves()):
+				e, m := edit(shelf), record(name)
+				e.size -= recordSize(name, &m)
+				delete(e.machines, name)
 			}
 		}
+		if large[shelf] && left == 0 && len(changed) < g.shelves() {
+			changed[shelf] = &edition{}
+		}
 	}
 	for n := 0; len(come) > 0; n++ {
-		shelf := shelfKey(n)
-		if changed[shelf] == nil && (len(changed) >= g.shelves() || len(c.ledger.shelves.get(shelf)) >= g.shelfSize()) {
+		shelf, next := shelfKey(n), record(come[0])
+		full := filled[shelf] > 0 && filled[shelf]+recordSize(come[0], &next) > g.shelfSize()
+		if changed[shelf] == nil && (len(changed) >= g.shelves() || full) {
 			if len(changed) >= g.shelves() && n > c.ledger.shelves.len()+len(changed) {
 				break // the rest goes with the next transaction
 			}
 			continue
 		}
-		for list := edit(shelf); len(come) > 0 && len(list) < g.shelfSize(); come = come[1:] {
-			s := c.orch.rigs.get(come[0]).state
-			list[come[0]] = wire.MachineRecord{Addr: s.Addr, Type: s.Type, Zone: s.Zone, Spot: s.Spot}
+		if large[shelf] {
+			continue
+		}
+		for e := edit(shelf); len(come) > 0; come = come[1:] {
+			m := record(come[0])
+			size := recordSize(come[0], &m)
+			if e.size+size > g.shelfSize() && len(e.machines) > 0 {
+				break
+			}
+			e.machines[come[0]] = m
+			e.size += size
 		}
 	}
 	if len(changed) > 0 {
@@ -85,9 +143,31 @@
 	}
 }
 
+// elsewhere names the machines of large shelves that stand on another one as well.
+func (g *register) elsewhere(large map[string]bool) map[string]bool {
+	out := map[string]bool{}
+	for shelf, names := range g.c.ledger.shelves.all() {
+		if large[shelf] {
+			for _, name := range names {
+				out[name] = false
+			}
+		}
+	}
+	if len(out) > 0 {
+		for shelf, names := range g.c.ledger.shelves.all() {
+			for _, name := range names {
+				if _, on := out[name]; on && !large[shelf] {
+					out[name] = true
+				}
+			}
+		}
+	}
+	return out
+}
+
 // write guards each key by its version: a transaction that is applied late must
 // not take a machine out that was written since.
-func (g *register) write(changed map[string]map[string]wire.MachineRecord) {
+func (g *register) write(changed map[string]*edition) {
 	c := g.c
 	// The map's version too: its part keeps a machine that is withdrawn empty in this
 	// epoch, and whoever owns it in a later one has seen that it is out.
@@ -95,8 +175,8 @@
 	var ops []wire.Op
 	for _, shelf := range sortedKeys(changed) {
 		guards = append(guards, c.ledger.guard(keyMachines+shelf))
-		op := wire.Op{Put: keyMachines + shelf, Value: wire.MachinesRecord{Machines: changed[shelf]}}
-		if len(changed[shelf]) == 0 {
+		op := wire.Op{Put: keyMachines + shelf, Value: wire.MachinesRecord{Machines: changed[shelf].machines}}
+		if len(changed[shelf].machines) == 0 {
 			op = wire.Op{Delete: keyMachines + shelf}
 		}
 		ops = append(ops, op)
--- a/internal/core/turns.go
+++ b/internal/core/turns.go
@@ -37,7 +37,7 @@
 		left := float64(max(s.Tasks-q.j.doneN-len(q.finished), 0))
 		jobs = append(jobs, floor.Job{
 			Account: floor.Account{Team: s.Team, Class: s.Class},
-			Age:     max(o.c.now.Wall-q.j.rec.At, 0),
+			Age:     max(o.c.now.Wall-q.j.since(), 0),
 			Part:    1 - float64(max(q.waiting(), 0))/float64(s.Tasks),
 			Work:    left * width(s) * o.c.est.own(q),
 			Using:   float64(len(q.flights)) * s.CPUs,
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -293,6 +293,8 @@
 	Zone    string
 	Core    *core.Core
 	Ready   bool
+	Old     bool    // runs the version before level 1, from its next start on
+	old     bool    // does so now
 	rate    float64 // of its steady clock
 	life    int
 	started time.Duration
@@ -333,6 +335,9 @@
 			set.Siblings = append(set.Siblings, s)
 		}
 	}
+	if n.old = n.Old; n.old {
+		set.Site.State.Next = nil
+	}
 	n.Core = core.New(&set, n.w.Policy, fmt.Sprintf("%s.%d", n.Label, n.life), Debug)
 	n.started = n.w.Now
 	n.waiting = map[core.RequestID]func(core.Reply){}
@@ -377,6 +382,9 @@
 	if n.Core == nil {
 		return
 	}
+	if n.old {
+		c = oldTakes(c)
+	}
 	n.queue = append(n.queue, c)
 	n.wake(0)
 }
@@ -450,8 +458,12 @@
 	case core.Ready:
 		n.Ready = e.Yes
 	case core.Commit:
+		old := n.old
+		if old {
+			e.Txn = oldWrites(e.Txn)
+		}
 		call(w, n.Label, "state", timeout, func(reply func(core.CommitDone)) {
-			status, ans := w.State.Commit(n.Label, e.Txn)
+			status, ans := w.State.Commit(n.Label, old, e.Txn)
 			reply(core.CommitDone{ID: e.ID, Status: status, Answer: ans})
 		}, func(d core.CommitDone) { mine(func() { post(d) })() }, mine(func() { post(core.CommitDone{ID: e.ID}) }))
 	case core.Load:
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -10,11 +10,20 @@
 
 // JobRecord is a job's durable state. State is JobQueued until the job is over.
 type JobRecord struct {
-	Spec  Job      `msgpack:"spec"`
-	State string   `msgpack:"state"`
-	At    float64  `msgpack:"at"`              // time of day of the submission, in seconds
-	Zones []string `msgpack:"zones,omitempty"` // chosen for a job tied to one zone or spread over two
-	Bad   string   `msgpack:"why,omitempty"`   // why the job was stopped
+	Spec   Job      `msgpack:"spec"`
+	State  string   `msgpack:"state"`
+	At     float64  `msgpack:"at"`               // time of day of the submission, in seconds
+	Zones  []string `msgpack:"zones,omitempty"`  // chosen for a job tied to one zone or spread over two
+	Bad    string   `msgpack:"why,omitempty"`    // why the job was stopped
+	Pieces int      `msgpack:"pieces,omitempty"` // the whole record is in so many keys,
+	Nonce  string   `msgpack:"nonce,omitempty"`  // all of this name; here are only its id and state
+	Over   float64  `msgpack:"over,omitempty"`   // time of day when it was done, in seconds; 0: an older version wrote it
+}
+
+// PieceRecord is a piece of a record that is larger than a value: of its MessagePack,
+// deflated, as base64.
+type PieceRecord struct {
+	Text string `msgpack:"text"`
 }
 
 // LotRecord holds jobs that were accepted together.
@@ -29,9 +38,13 @@
 
 // NodeRecord says that a controller is alive.
 type NodeRecord struct {
-	Boot string `msgpack:"boot"`
+	Boot  string `msgpack:"boot"`
+	Level int    `msgpack:"level,omitempty"` // what it understands: Level of its version
 }
 
+// Level is what this version understands of what is stored. Older ones say nothing, 0.
+const Level = 1 // jobs that need others
+
 // LeaderRecord says who leads.
 type LeaderRecord struct {
 	Label string `msgpack:"label"`
@@ -92,6 +105,19 @@
 	return true
 }
 
+// Join adds another set, whose first byte is so many behind the first of this one, and
+// returns how many were new.
+func (s *TaskSet) Join(o TaskSet, at int) (added int) {
+	for at+len(o) > len(*s) {
+		*s = append(*s, 0)
+	}
+	for i, b := range o {
+		added += bits.OnesCount8(b &^ (*s)[at+i])
+		(*s)[at+i] |= b
+	}
+	return added
+}
+
 // Len counts the set.
 func (s TaskSet) Len() int {
 	n := 0
--- a/internal/wire/users.go
+++ b/internal/wire/users.go
@@ -55,6 +55,7 @@
 	CheckpointS float64  `msgpack:"BookmarkS,omitempty"`
 	SaveS       float64  `msgpack:"StashS,omitempty"`
 	DeadlineS   float64  `msgpack:"GavelS,omitempty"` // 0: none
+	Needs       []string `msgpack:"Awaits,omitempty"` // jobs that must be done before any task of this one starts
 }
 
 // JobAnswer is what a user is told about a job.
@@ -117,6 +118,7 @@
 		CheckpointS: f.amount("BookmarkS"),
 		SaveS:       f.amount("StashS"),
 		DeadlineS:   f.optionalAmount("GavelS"),
+		Needs:       f.jobIDs("Awaits"),
 	}
 	if f.err == nil && !ValidJobID(j.ID) {
 		f.fail("Ref", "is not a job id")
@@ -233,6 +235,33 @@
 	return out
 }
 
+// jobIDs reads a list of job ids that may be missing or empty; doubles count once.
+func (f *fields) jobIDs(name string) []string {
+	v := f.m[name]
+	if v == nil {
+		return nil
+	}
+	list, ok := v.([]any)
+	if !ok {
+		f.fail(name, "must be null or a list of job ids")
+		return nil
+	}
+	var out []string
+	seen := make(map[string]bool, len(list))
+	for _, e := range list {
+		s, ok := e.(string)
+		if !ok || !ValidJobID(s) {
+			f.fail(name, "must be null or a list of job ids")
+			return nil
+		}
+		if !seen[s] {
+			seen[s] = true
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 func number(v any) (float64, bool) {
 	switch x := v.(type) {
 	case float64:
@@ -264,6 +293,6 @@
 func JobDefaults() map[string]any {
 	return map[string]any{
 		"Gpus": 0.0, "Rigtypes": nil, "Yard": nil, "Together": false, "Apart": false, "Loaner": false,
-		"BookmarkS": 0.0, "StashS": 0.0, "GavelS": nil,
+		"BookmarkS": 0.0, "StashS": 0.0, "GavelS": nil, "Awaits": nil,
 	}
 }
