Waiting jobs are asked for their weights by turns; a benchmark of 20,000 of them

Cause: each second the leader worked out the prediction of every job that waits: 17 ms with 20,000 of them, more than all else at a thousand machines. Ruled out: asking less often for all, which leaves new pipelines without weights.

--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -47,6 +47,28 @@
 	}
 }
 
+// BenchmarkDependents is a second of a deployment with thousands of jobs that wait for
+// others: a fan behind one job, and chains of a hundred.
+func BenchmarkDependents(b *testing.B) {
+	for _, n := range []int{0, 20_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := grown(b, 1, 1000)
+			first := fake.Array(1)
+			first.ID, first.CPUs = "job-900000000", 16
+			s.State.Behind(first, n)
+			s.Run(s.Now + 60*second) // the others read them anew: so many changes are not kept
+			var own time.Duration
+			s.Applied = func(_ *fake.Node, _ []core.Command, took time.Duration) { own += took }
+			b.ResetTimer()
+			defer func() { b.ReportMetric(own.Seconds()*1000/float64(b.N), "core-ms/op") }()
+			for range b.N {
+				s.Users.Submit(fake.Array(500), 30)
+				s.Run(s.Now + second)
+			}
+		})
+	}
+}
+
 // Hundreds of machines come up at once: the register must not take the write
 // budget of many seconds, and all of them work soon.
 func TestRegisterTakesFewWrites(t *testing.T) {
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -258,6 +258,24 @@
 	s.change(func(b *store.Batch) { b.Commit(&txn) })
 }
 
+// Behind puts a job into the store and n jobs that wait for it: half of them for it alone,
+// half in chains of a hundred.
+func (s *State) Behind(first wire.Job, n int) {
+	first.EstimateS = 100_000
+	txn := store.Txn{Then: []store.Op{{Put: "c/job/" + first.ID, Value: wire.Encode(wire.JobRecord{Spec: first, State: wire.JobQueued, At: 1e9})}}}
+	before := ""
+	for i := range n {
+		spec := Array(1 + i%40)
+		spec.ID = fmt.Sprintf("job-8%08d", i)
+		if spec.Needs = []string{first.ID}; i%200 > 100 {
+			spec.Needs = []string{before}
+		}
+		before = spec.ID
+		txn.Then = append(txn.Then, store.Op{Put: "c/run/" + spec.ID, Value: wire.Encode(wire.JobRecord{Spec: spec, State: wire.JobQueued, At: 1e9})})
+	}
+	s.change(func(b *store.Batch) { b.Commit(&txn) })
+}
+
 // malformed says what is wrong with a transaction: it is over a limit of the
 // settings. A service that sends one would send it for ever.
 func (s *State) malformed(t wire.Txn) string {
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -43,8 +43,14 @@
 	waiting int // jobs that need one that is not done
 	changed bool
 	order   []*node // open jobs, each before those that it needs
+	turn    int     // of those that are asked for their own weights anew
 }
 
+// askedShare is how many times Weigh is called until every waiting job has been asked for
+// its own weight anew: what is predicted of it changes slowly, and with ten thousands of
+// them asking took most of a leader's round.
+const askedShare = 16
+
 type node struct {
 	id    string
 	state State
@@ -255,13 +261,17 @@
 // Weigh works out anew what each open job of a pipeline counts with: the urgency of the
 // most urgent job that needs it, and the earliest moment by which it must be done for all
 // of those to be in time, their predicted times taken off along the longest path (latest
-// finish times of critical-path scheduling). own tells of each job by itself.
+// finish times of critical-path scheduling). own tells of a job by itself: of those that
+// may start and of new ones at every call, of the others by turns.
 func (g *Graph) Weigh(own func(id string) Weight) {
 	if g.changed {
 		g.sort()
 	}
-	for _, n := range g.order {
-		n.own = own(n.id)
+	g.turn = (g.turn + 1) % askedShare
+	for i, n := range g.order {
+		if n.open == 0 || n.own == (Weight{}) || i%askedShare == g.turn {
+			n.own = own(n.id)
+		}
 		n.total = n.own
 	}
 	for _, n := range g.order {
