--- /dev/null
+++ b/internal/core/restarts_test.go
@@ -0,0 +1,91 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/fake"
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// Processes that end and are back within a fraction of a second, at the moments that matter.
+// In all of these copies of what was sent arrive later, work goes on, and one job is
+// cancelled in the middle.
+func TestFastRestarts(t *testing.T) {
+	const soon = second / 20
+	leads := func(s *story) *fake.Node {
+		for _, n := range s.Nodes {
+			if n.Alive() && n.Core.Leads() {
+				return n
+			}
+		}
+		return nil
+	}
+	for name, ends := range map[string]func(s *story){
+		"the leader is back before its keys have ended": func(s *story) { s.leader().Crash(soon) },
+		"it ends again as soon as it has the leader key": func(s *story) {
+			n := s.leader()
+			for range 4 {
+				n.Crash(soon)
+				s.within(30*second, "it leads again", func() bool { return leads(s) == n })
+			}
+		},
+		"it ends between the map and the first dispatch": func(s *story) {
+			n := s.leader()
+			n.Crash(soon)
+			s.Logs = nil
+			s.within(30*second, "there is a new map", func() bool { return s.said(n.Label + " new map") })
+			n.Crash(soon)
+		},
+		"a member is back while its former life's words are held": func(s *story) {
+			n := s.follower()
+			s.Cut(n.Label, "state", true)
+			s.Cut(n.Label, "workers", true)
+			s.Run(s.Now + second)
+			n.Crash(soon)
+			s.Run(s.Now + second/2)
+			n.Crash(soon) // none of the three can be heard
+			s.After(20*second, func() { s.Mend(n.Label, "state"); s.Mend(n.Label, "workers") })
+		},
+		"all end and return in another order": func(s *story) {
+			for i, n := range s.Nodes {
+				n.Crash(soon * time.Duration(1+(i+2)%3))
+			}
+		},
+		"ten ends in ten seconds": func(s *story) {
+			for i := range 10 {
+				s.Nodes[i%3].Crash(soon)
+				s.Run(s.Now + second)
+			}
+		},
+		"whoever takes the lead ends": func(s *story) {
+			for range 3 {
+				s.leader().Crash(8 * second)
+				s.within(30*second, "another one leads", func() bool { return leads(s) != nil })
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(4) {
+				s := begin(t, 800+seed)
+				s.Copies, s.CopyBy = 0.3, 100*second
+				long := s.accept(fake.Array(12), 30)
+				next := s.accept(behind(6, long), 5)
+				cut := s.accept(fake.Array(10), 200)
+				for range 3 {
+					s.Users.Submit(fake.Array(8), 6)
+				}
+				s.Run(s.Now + 20*second)
+				ends(s)
+				s.Users.Abort(cut)
+				s.Users.Submit(fake.Array(5), 4)
+				s.within(300*second, "all come to their end", s.Users.AllTold)
+				s.Run(s.Now + 100*second) // the last copies arrive
+				s.rules()
+				if !told(wire.JobDone, long, next)() || cut.Told != wire.JobCancelled {
+					t.Fatal(long.Told, next.Told, cut.Told)
+				}
+			}
+		})
+	}
+}
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/chalkhub/chalkhub/internal/core"
 	"github.com/chalkhub/chalkhub/internal/fake"
 )
@@ -136,3 +138,54 @@
 		}
 	}
 }
+
+// BenchmarkStandstill is how long no task starts after controllers end, with short tasks
+// waiting all the while, by who ends and how soon they are back: median and most.
+func BenchmarkStandstill(b *testing.B) {
+	for _, end := range []struct {
+		who  string
+		ends func(s *story, back time.Duration)
+	}{
+		{"leader", func(s *story, back time.Duration) { s.leader().Crash(back) }},
+		{"member", func(s *story, back time.Duration) { s.follower().Crash(back) }},
+		{"all", func(s *story, back time.Duration) {
+			for _, n := range s.Nodes {
+				n.Crash(back)
+			}
+		}},
+		{"leader twice", func(s *story, back time.Duration) {
+			n := s.leader()
+			n.Crash(back)
+			s.After(back+second/10, func() { n.Crash(back) })
+		}},
+	} {
+		for _, back := range []time.Duration{second / 20, second / 5, second, 8 * second} {
+			b.Run(fmt.Sprint(end.who, " back in ", back), func(b *testing.B) {
+				gaps := hdrhistogram.New(1, 100_000, 3)
+				for seed := range uint64(5) {
+					s := begin(b, 700+seed)
+					s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = 0, 0 // what is up must do
+					for i := range 16 {
+						s.Cloud.Add("box", []string{"a", "b"}[i%2], true)
+					}
+					for range 30 {
+						s.Users.Submit(fake.Array(100), 3+s.Rand.Float64()*3)
+					}
+					s.Run(s.Now + 25*second)
+					end.ends(s, back)
+					last, count, worst := s.Now, s.Users.Starts, time.Duration(0)
+					for until := s.Now + 40*second; s.Now < until; s.Run(s.Now + second/50) {
+						if s.Users.Starts > count {
+							last, count = s.Now, s.Users.Starts
+						}
+						worst = max(worst, s.Now-last)
+					}
+					s.rules()
+					_ = gaps.RecordValue(worst.Milliseconds()) // within bounds
+				}
+				b.ReportMetric(float64(gaps.ValueAtQuantile(50)), "median-ms")
+				b.ReportMetric(float64(gaps.Max()), "most-ms")
+			})
+		}
+	}
+}
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -18,6 +18,7 @@
 	running int                // tasks that are on machines
 	cpus    map[string]float64 // that they take, by team
 	gpus    map[string]float64
+	Starts  int // tasks that started on a machine
 	Asked   int // requests,
 	Served  int // and those that got another answer than to come again later
 }
@@ -222,6 +223,7 @@
 	if _, ok := j.on[t.Name]; !ok {
 		u.count(j, 1)
 	}
+	u.Starts++
 	j.on[t.Name] = k.Info.Name
 	u.checkPlace(k, t)
 	u.checkQuota(j.Spec.Team)
