Hard cases of pipelines as stories; three seeded faults that the checker must catch

A chain whose head fails everywhere, a chain across teams with one at its limit, and a roll with a cut, a frozen controller, an outage in which the limits fall, a wave of machines and all ends when half are new. Seeded: controllers that start early, a cancellation that is lost on reload, values that are too large; each is caught as too_early, orphaned, malformed.

--- a/internal/core/behind_test.go
+++ b/internal/core/behind_test.go
@@ -365,3 +365,129 @@
 		t.Fatal(old.Told, now.Told)
 	}
 }
+
+// The checker itself: three seeded faults must be caught, or the stories above assert
+// nothing.
+func TestCheckerCatchesFaultsOfPipelines(t *testing.T) {
+	caught := func(s *story, rule string) {
+		t.Helper()
+		if !slices.ContainsFunc(s.Broken, func(b string) bool { return strings.Contains(b, " "+rule+": ") }) {
+			t.Errorf("%s was not caught: %v", rule, s.Broken)
+		}
+	}
+	// Controllers that know nothing of needs start at once.
+	s := begin(t, 311)
+	for _, n := range s.Nodes {
+		n.Old = true
+		n.Start()
+	}
+	s.Run(s.Now + 5*second)
+	first := s.accept(fake.Array(2), 60)
+	s.accept(behind(2, first), 5)
+	s.Run(s.Now + 60*second)
+	caught(s, "too_early")
+
+	// The record of a cancellation is lost, and everybody reads the state anew.
+	s = begin(t, 312)
+	first = s.accept(fake.Array(2), 600)
+	rest := s.accept(behind(2, first), 5)
+	s.Users.Abort(first)
+	s.within(60*second, "both are cancelled", told(wire.JobCancelled, first, rest))
+	s.State.Reopen(first.Spec)
+	for _, n := range s.Nodes {
+		n.Crash(second)
+	}
+	s.Run(s.Now + 100*second)
+	caught(s, "orphaned")
+
+	// Controllers that were not told of the limits to come write too much.
+	s = begin(t, 313)
+	s.Set.Site.State.Next = &config.State{ValueKB: 0.25}
+	s.State.Lowered = true
+	s.Users.Submit(fake.Array(2), 5)
+	s.Run(s.Now + 20*second)
+	caught(s, "malformed")
+}
+
+// The first job of a chain fails wherever it runs: those behind it wait, say so and hold
+// nothing, and go with it when its user gives up.
+func TestChainWhoseHeadFailsEverywhere(t *testing.T) {
+	s := begin(t, 314)
+	head := s.accept(fake.Array(4), 5)
+	head.Mistaken = true
+	rest := []*fake.Job{s.accept(behind(40, head), 5)}
+	rest = append(rest, s.accept(behind(3, rest[0]), 5))
+	free := s.accept(fake.Array(8), 5)
+	s.within(100*second, "other work is done", told(wire.JobDone, free))
+	s.Run(s.Now + 60*second)
+	if why := rest[1].Answer.Reason; why != "waits for "+rest[0].Spec.ID {
+		t.Fatalf("the last says %q", why)
+	}
+	s.Users.Abort(head)
+	s.within(60*second, "all are cancelled", told(wire.JobCancelled, head, rest[0], rest[1]))
+}
+
+// A chain across teams, one of which is at its limit for long.
+func TestChainAcrossTeams(t *testing.T) {
+	s := begin(t, 315)
+	red := func(n int, needs ...*fake.Job) wire.Job {
+		spec := behind(n, needs...)
+		spec.Team = "red"
+		return spec
+	}
+	full := s.accept(red(24), 150)
+	a := s.accept(fake.Array(4), 4)
+	b := s.accept(red(4, a), 4)
+	c := s.accept(behind(4, b), 4)
+	s.within(60*second, "the first is done", told(wire.JobDone, a))
+	s.within(10*second, "the second has its limit as reason", func() bool { return strings.Contains(b.Answer.Reason, "at its limit") })
+	s.within(300*second, "all are done", told(wire.JobDone, full, a, b, c))
+}
+
+// Everything at once across a roll: a controller that is cut off, one that stands still,
+// limits that fall during an outage, a wave of machines, and all end when half are new.
+func TestRollThroughTroubles(t *testing.T) {
+	for seed := range uint64(12) {
+		set := fake.Settings(4)
+		set.Site.State.Next = &config.State{WriteRPS: 30, ValueKB: 2, TxnOps: 5}
+		s := &story{World: fake.Build(320+seed, set, fake.Types()), t: t}
+		for _, n := range s.Nodes {
+			n.Old = true
+			n.Start()
+		}
+		for range 30 {
+			s.Cloud.Add("box", "a", true)
+		}
+		s.Run(s.Now + 10*second)
+		var jobs []*fake.Job
+		for range 8 {
+			jobs = append(jobs, s.Users.Submit(fake.Array(30), 12))
+		}
+		s.Run(s.Now + 10*second)
+		s.cutOff(25*second, s.Nodes[0].Label, "state")
+		for k, n := range s.Nodes {
+			n.Old = false
+			n.Crash(second / 5)
+			s.Run(s.Now + 3*second)
+			switch k {
+			case 1:
+				for i, x := range s.Nodes {
+					x.Crash(second * time.Duration(1+(i+int(seed))%4) / 10)
+				}
+				s.State.Outage(12 * second)
+				s.After(4*second, func() { s.State.Lowered = true })
+				for range 60 {
+					s.Cloud.Add("box", "b", true)
+				}
+			case 2:
+				s.Run(s.Now + 2*second)
+				s.Nodes[3].StandStill(20 * second)
+			}
+		}
+		s.Run(s.Now + 30*second)
+		jobs = append(jobs, s.Users.Submit(fake.Array(5), 4))
+		s.within(60*second, "it is accepted", func() bool { return jobs[8].Accepted })
+		jobs = append(jobs, s.Users.Submit(behind(5, jobs...), 4))
+		s.within(400*second, "all is done", told(wire.JobDone, jobs...))
+	}
+}
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -304,6 +304,14 @@
 	s.change(func(b *store.Batch) { b.Commit(&store.Txn{Then: []store.Op{{Delete: key}}}) })
 }
 
+// Reopen puts a job back to where it was when it was accepted, behind everybody's back.
+func (s *State) Reopen(spec wire.Job) {
+	rec := wire.JobRecord{Spec: spec, State: wire.JobQueued, At: 1e9}
+	s.change(func(b *store.Batch) {
+		b.Commit(&store.Txn{Then: []store.Op{{Put: "c/job/" + spec.ID, Value: wire.Encode(rec)}}})
+	})
+}
+
 // Count counts the keys with a prefix.
 func (s *State) Count(prefix string) (n int) {
 	s.now.Each(func(k string, _ store.Entry) bool {
