--- a/internal/core/behind_test.go
+++ b/internal/core/behind_test.go
@@ -436,11 +436,15 @@
 		return spec
 	}
 	full := s.accept(red(24), 150)
+	s.within(60*second, "its team is at its limit", func() bool { return full.Running() == 24 })
 	a := s.accept(fake.Array(4), 4)
 	b := s.accept(red(4, a), 4)
 	c := s.accept(behind(4, b), 4)
 	s.within(60*second, "the first is done", told(wire.JobDone, a))
-	s.within(10*second, "the second has its limit as reason", func() bool { return strings.Contains(b.Answer.Reason, "at its limit") })
+	s.Run(s.Now + 8*second)
+	if !strings.Contains(b.Answer.Reason, "at its limit") {
+		t.Fatalf("the second is %s and says %q, %d of the first run", b.Told, b.Answer.Reason, full.Running())
+	}
 	s.within(300*second, "all are done", told(wire.JobDone, full, a, b, c))
 }
 
