--- a/internal/core/behind.go
+++ b/internal/core/behind.go
@@ -121,6 +121,9 @@
 		}
 		if !v.Aborted {
 			j.ready, j.late = v.Ready, l.c.members.leading
+			if l.c.members.leading {
+				l.c.debugf("ready", "job", v.Job, "class", j.rec.Spec.Class, "needed", j.rec.Spec.Needs)
+			}
 			l.c.orch.jobChanged(j)
 			l.c.orch.lastSort = 0 // its first tasks start at once
 			continue
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -428,6 +428,9 @@
 	for _, key := range j.kept {
 		l.leavings[key] = true
 	}
+	if l.c.members.leading {
+		l.c.debugf("over", "job", id, "state", j.rec.State, "why", j.rec.Bad)
+	}
 	l.c.part.jobOver(j)
 	l.ended.put(&j.rec, j.version)
 	delete(l.jobs, id)
