--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -18,6 +18,7 @@
 	Entitled bool               `json:"entitled"`
 	Revision uint64             `json:"revision"`
 	Jobs     map[string]int     `json:"jobs"`
+	Behind   int                `json:"jobs_waiting_for_jobs,omitempty"`
 	Machines map[string]Machine `json:"machines"`
 	Queue    []Waiting          `json:"queue,omitempty"`
 	Teams    map[string]float64 `json:"team_cpus,omitempty"`
@@ -90,6 +91,7 @@
 	if c.ledger.mapRec != nil {
 		s.Members = sortedKeys(c.ledger.mapRec.Members)
 	}
+	s.Behind = c.ledger.pipes.Waiting()
 	for _, j := range c.ledger.jobs {
 		s.Jobs[j.rec.State]++
 	}
