--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -29,6 +29,7 @@
 type Core struct {
 	set    *config.Settings
 	state  config.State // the limits of the state service that we keep to
+	fell   bool         // it has refused a change for its rate
 	policy config.Policy
 	boot   string
 	times  times
@@ -92,6 +93,16 @@
 	return max(min(c.state.TxnOps, int(c.state.WriteRPS/2)), 1)
 }
 
+// writeRPS is the rate of changes that this node paces itself by: the present one until the
+// state service refuses a change for its rate, then the smaller of that and the one to come,
+// for good. Our own pace may have been the reason; then nothing is lost but some of it.
+func (c *Core) writeRPS() float64 {
+	if c.fell {
+		return c.state.WriteRPS
+	}
+	return c.set.Site.State.WriteRPS
+}
+
 // valueSize is how many bytes a value may have, in the form in which limits are counted.
 func (c *Core) valueSize() int { return int(c.state.ValueKB * 1024) }
 
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -318,6 +318,10 @@
 func (l *ledger) committed(d CommitDone) {
 	f := l.commits[d.ID]
 	delete(l.commits, d.ID)
+	if d.Status == 429 && !l.c.fell {
+		l.c.fell = true
+		l.c.debugf("a change was refused for its rate", "changes a second from now on", l.c.writeRPS())
+	}
 	if f != nil {
 		f(d)
 	}
--- a/internal/core/lots.go
+++ b/internal/core/lots.go
@@ -50,7 +50,7 @@
 // rate is how many writes a second this node's submissions may take: its share of what
 // progress leaves.
 func (x *lots) rate() float64 {
-	return x.c.state.WriteRPS * (1 - x.c.policy.ProgressShare) / float64(len(x.c.set.Siblings)+1)
+	return x.c.writeRPS() * (1 - x.c.policy.ProgressShare) / float64(len(x.c.set.Siblings)+1)
 }
 
 // spend takes a write, and says how long until one may be taken if there is none.
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -126,7 +126,7 @@
 	o.clear()
 	o.lastRound = 0
 	o.writesAt = o.c.now.Steady
-	o.writes = o.c.state.WriteRPS / 4
+	o.writes = o.c.writeRPS() / 4
 	if on {
 		o.c.est.load()
 		for _, id := range sortedKeys(o.c.ledger.jobs) {
--- a/internal/core/progress.go
+++ b/internal/core/progress.go
@@ -13,7 +13,7 @@
 // progress, as far as the write budget goes.
 func (o *orchestrator) save() {
 	c := o.c
-	rate := c.state.WriteRPS * c.policy.ProgressShare
+	rate := c.writeRPS() * c.policy.ProgressShare
 	o.writes = min(o.writes+(c.now.Steady-o.writesAt).Seconds()*rate, rate)
 	o.writesAt = c.now.Steady
 	var partly []*queued
