Read again: what nothing used any more is gone, sizes are worked out once

Behaviour stays as it is.

- A submission's size as text was worked out twice; now once, and handed on.
- Whether a job inherits a deadline is what rank has noted already, not another look-up.
- One answer for what only this version knows (tooEarly) in place of two; the job's own key is asked of the job in accept too.

Looked at and left: the shapes that wire/size.go and wire/check.go share (one counts, one checks; a common walk would carry both), the two loops of floors_test (not of this change).

--- a/internal/core/behind.go
+++ b/internal/core/behind.go
@@ -16,8 +16,7 @@
 // submitBehind accepts a job that names others. looked: the mirror holds all that was
 // accepted before the request came.
 func (l *ledger) submitBehind(id RequestID, rec wire.JobRecord, looked bool) {
-	if old := l.older(); old != "" {
-		l.later(id, "controller "+old+" still runs a version that does not know jobs that need others: repeat this when all are upgraded")
+	if l.tooEarly(id, "jobs that need others") {
 		return
 	}
 	var open []string
@@ -56,18 +55,19 @@
 	l.accept(id, rec, true)
 }
 
-// older names a controller that lives and whose version does not know jobs that need
-// others; empty if there is none.
+// tooEarly has a user come again with what only this version knows, if a controller lives
+// that says that it is older.
 //
-// Guards against such a job in the hands of a version that would start it at once: it
-// would not even find it, since it passes its key over, and call it unknown.
-func (l *ledger) older() string {
+// Guards against a job in the hands of a version that would not even find it, since it
+// passes its key over, and call it unknown.
+func (l *ledger) tooEarly(id RequestID, what string) bool {
 	for _, label := range sortedKeys(l.nodes) {
-		if l.nodes[label].Level < 1 {
-			return label
+		if l.nodes[label].Level < wire.Level {
+			l.later(id, "controller "+label+" still runs a version that does not know "+what+": repeat this when all are upgraded")
+			return true
 		}
 	}
-	return ""
+	return false
 }
 
 func because(cause string) string { return "it needs " + cause + ", which was cancelled" }
@@ -163,11 +163,8 @@
 	})
 }
 
-// inherits reports whether a job is needed by one that has a deadline.
-func (o *orchestrator) inherits(q *queued) bool {
-	w, ok := o.c.ledger.pipes.Weight(q.id)
-	return ok && !math.IsInf(w.Latest, 1)
-}
+// inherits reports whether a job of a pipeline has a deadline, or one that needs it has.
+func (q *queued) inherits() bool { return !math.IsInf(q.latest, 1) }
 
 // fetches is how many seconds a job's image takes on the machine type that is the fastest
 // at that.
--- a/internal/core/behind_test.go
+++ b/internal/core/behind_test.go
@@ -94,9 +94,7 @@
 	if !strings.Contains(late.Answer.Reason, jobs[3].Spec.ID) {
 		t.Fatalf("the reason is %q", late.Answer.Reason)
 	}
-	for _, n := range s.Nodes { // whoever reads the records comes to the same
-		n.Crash(second / 20)
-	}
+	s.allEnd(second / 20) // whoever reads the records comes to the same
 	s.Run(s.Now + 60*second)
 	for range 60 {
 		s.Users.PollAny()
@@ -381,9 +379,7 @@
 	s.Users.Abort(first)
 	s.within(60*second, "both are cancelled", told(wire.JobCancelled, first, rest))
 	s.State.Reopen(first.Spec)
-	for _, n := range s.Nodes {
-		n.Crash(second)
-	}
+	s.allEnd(second)
 	s.Run(s.Now + 100*second)
 	caught(s, "orphaned")
 
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -64,7 +64,7 @@
 			firm += min(cpus, work/f.horizon(q, pred))
 		}
 		// What no aim is set for is worth cheap machines only.
-		if waiting > 0 && (q.in || f.aimed(s) || c.orch.inherits(q)) {
+		if waiting > 0 && (q.in || f.aimed(s) || q.inherits()) {
 			left := f.horizon(q, pred)
 			need := ahead/left + f.inflow(q)
 			d.due = max(d.due, need)
@@ -207,7 +207,7 @@
 		}
 	}
 	// What others need has what is left before the last of them is late.
-	if left := q.latest - f.c.now.Wall; left > 0 && !math.IsInf(left, 1) && f.c.orch.inherits(q) {
+	if left := q.latest - f.c.now.Wall; left > 0 && q.inherits() {
 		h = min(h, left*f.c.policy.HorizonShare)
 	}
 	if math.IsInf(h, 1) {
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -40,7 +40,7 @@
 // under 3 KB of text, so it fits the smallest value limit with room to spare.
 const progressBlock = 16384
 
-// fineBlock is how many tasks a key covers where values are smaller than that: some 700
+// fineBlock is how many tasks a key covers where values are smaller than that: some 350
 // bytes of text. What both say is done.
 const fineBlock = 2048
 
@@ -620,18 +620,16 @@
 // accept writes a submission; needy: its user named jobs that it needs.
 func (l *ledger) accept(id RequestID, rec wire.JobRecord, needy bool) {
 	spec := rec.Spec
-	if wire.TextSize(rec) > l.c.valueSize()-lotSize {
+	size := wire.TextSize(rec)
+	if size > l.c.valueSize()-lotSize {
 		l.long.accept(id, rec)
 		return
 	}
 	if !l.lots.alone() {
-		l.lots.add(id, rec, needy)
+		l.lots.add(submission{id, rec, needy, size})
 		return
 	}
-	key := keyJob + spec.ID
-	if len(spec.Needs) > 0 {
-		key = keyRun + spec.ID
-	}
+	key := (&job{rec: rec, run: len(spec.Needs) > 0}).ownKey()
 	l.commit(freeGuards(spec.ID, needy), []wire.Op{{Put: key, Value: rec}}, func(d CommitDone) {
 		switch d.Status {
 		case 200:
@@ -644,7 +642,7 @@
 			l.barrier(func(ok bool) { l.uncertain(id, spec.ID, ok) })
 		case 429:
 			l.lots.tokens = 0
-			l.lots.add(id, rec, needy) // once more, with others
+			l.lots.add(submission{id, rec, needy, size}) // once more, with others
 		default:
 			l.later(id, "the state service is busy")
 		}
@@ -767,11 +765,14 @@
 	for _, key := range sortedKeys(l.leavings) {
 		if l.versions[key] == 0 {
 			delete(l.leavings, key)
-		} else if len(ops) < c.txnOps() && c.orch.writes >= 1 {
-			c.orch.writes--
-			guards = append(guards, l.guard(key))
-			ops = append(ops, wire.Op{Delete: key})
+			continue
 		}
+		if len(ops) == c.txnOps() || c.orch.writes < 1 {
+			break
+		}
+		c.orch.writes--
+		guards = append(guards, l.guard(key))
+		ops = append(ops, wire.Op{Delete: key})
 	}
 	if len(ops) == 0 {
 		return
--- a/internal/core/long.go
+++ b/internal/core/long.go
@@ -48,8 +48,7 @@
 // accept begins an attempt, one at a time, and has the user come again.
 func (x *longs) accept(id RequestID, rec wire.JobRecord) {
 	l := x.c.ledger
-	if old := l.older(); old != "" {
-		l.later(id, "controller "+old+" still runs a version that does not know descriptions of this size: repeat this when all are upgraded")
+	if l.tooEarly(id, "descriptions of this size") {
 		return
 	}
 	if x.work == nil {
--- a/internal/core/lots.go
+++ b/internal/core/lots.go
@@ -69,8 +69,8 @@
 func (x *lots) alone() bool { return len(x.waiting) == 0 && x.spend() == 0 }
 
 // add has a job accepted with the next lot.
-func (x *lots) add(id RequestID, rec wire.JobRecord, needy bool) {
-	x.waiting = append(x.waiting, submission{id, rec, needy, wire.TextSize(rec) + 1})
+func (x *lots) add(s submission) {
+	x.waiting = append(x.waiting, s)
 	x.flush()
 }
 
@@ -90,12 +90,12 @@
 	size, guards := 16, 1
 	for i := range x.waiting {
 		s := &x.waiting[i]
-		if len(batch) > 0 && (s.prefix() != batch[0].prefix() || size+s.size > min(x.c.valueSize(), 32<<10) || guards+s.guards() > 2*x.c.state.TxnOps) {
+		if len(batch) > 0 && (s.prefix() != batch[0].prefix() || size+s.size+1 > min(x.c.valueSize(), 32<<10) || guards+s.guards() > 2*x.c.state.TxnOps) {
 			rest = append(rest, *s)
 			continue
 		}
 		batch = append(batch, *s)
-		size, guards = size+s.size, guards+s.guards()
+		size, guards = size+s.size+1, guards+s.guards()
 	}
 	x.waiting = rest
 	x.write(batch)
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -38,7 +38,7 @@
 	}
 	// Each change of its list makes a worker report once more. Clearing alone is
 	// no reason for that: it waits for other commands, but not for long.
-	if clear := len(clears) > 0 && (clearNow || len(cmds) > 0 || starts); clear {
+	if len(clears) > 0 && (clearNow || len(cmds) > 0 || starts) {
 		if direct {
 			// Guards against a /do that was carried out and comes once more: what it
 			// started is unknown to the worker once it is cleared, and it would start
--- a/internal/core/restarts_test.go
+++ b/internal/core/restarts_test.go
@@ -13,21 +13,13 @@
 // cancelled in the middle.
 func TestFastRestarts(t *testing.T) {
 	const soon = second / 20
-	leads := func(s *story) *fake.Node {
-		for _, n := range s.Nodes {
-			if n.Alive() && n.Core.Leads() {
-				return n
-			}
-		}
-		return nil
-	}
 	for name, ends := range map[string]func(s *story){
 		"the leader is back before its keys have ended": func(s *story) { s.leader().Crash(soon) },
 		"it ends again as soon as it has the leader key": func(s *story) {
 			n := s.leader()
 			for range 4 {
 				n.Crash(soon)
-				s.within(30*second, "it leads again", func() bool { return leads(s) == n })
+				s.within(30*second, "it leads again", func() bool { return s.leads() == n })
 			}
 		},
 		"it ends between the map and the first dispatch": func(s *story) {
@@ -61,7 +53,7 @@
 		"whoever takes the lead ends": func(s *story) {
 			for range 3 {
 				s.leader().Crash(8 * second)
-				s.within(30*second, "another one leads", func() bool { return leads(s) != nil })
+				s.within(30*second, "another one leads", func() bool { return s.leads() != nil })
 			}
 		},
 	} {
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -105,16 +105,24 @@
 	return slices.ContainsFunc(s.Logs, func(l string) bool { return strings.Contains(l, what) })
 }
 
-func (s *story) leader() *fake.Node {
+// leads is the node that leads, nil if none does.
+func (s *story) leads() *fake.Node {
 	for _, n := range s.Nodes {
 		if n.Alive() && n.Core.Leads() {
 			return n
 		}
 	}
-	s.t.Fatal("no leader")
 	return nil
 }
 
+func (s *story) leader() *fake.Node {
+	n := s.leads()
+	if n == nil {
+		s.t.Fatal("no leader")
+	}
+	return n
+}
+
 func (s *story) follower() *fake.Node {
 	for _, n := range s.Nodes {
 		if n.Alive() && !n.Core.Leads() {
--- a/internal/core/worlds_test.go
+++ b/internal/core/worlds_test.go
@@ -349,10 +349,8 @@
 		back := back(rt)
 		for i := range 4 { // in the middle of what the end before began
 			s.At(at+time.Duration(i)*d.lease()/8, func() {
-				for _, n := range s.Nodes {
-					if n.Alive() && n.Core.Leads() {
-						n.Crash(back)
-					}
+				if n := s.leads(); n != nil {
+					n.Crash(back)
 				}
 			})
 		}
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -255,7 +255,6 @@
 	Urgency int     // the smaller the more urgent
 	Latest  float64 // time of day by which it is to be done, in seconds; +Inf: no matter
 	Takes   float64 // seconds that it will take once it is ready
-	Until   float64 // filled in by Weigh: seconds until it may be ready, as predicted; 0: it is
 }
 
 // Weigh works out anew what each open job of a pipeline counts with: the urgency of the
@@ -280,14 +279,6 @@
 			m.total.Latest = min(m.total.Latest, n.total.Latest-n.own.Takes)
 		}
 	}
-	for _, n := range slices.Backward(g.order) {
-		n.total.Until = 0
-		for _, m := range n.needs {
-			if !m.gone {
-				n.total.Until = max(n.total.Until, m.total.Until+m.own.Takes)
-			}
-		}
-	}
 }
 
 // sort puts the open jobs into an order in which each comes before those that it needs.
@@ -326,12 +317,3 @@
 	}
 	return n.total, true
 }
-
-// Each walks over the jobs that wait, with what Weigh last made of them.
-func (g *Graph) Each(f func(id string, w Weight)) {
-	for _, n := range g.order {
-		if n.open > 0 {
-			f(n.id, n.total)
-		}
-	}
-}
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -176,9 +176,9 @@
 	}
 	g.Weigh(func(id string) Weight { return own[id] })
 	for id, want := range map[string]Weight{
-		"a": {Urgency: 0, Latest: 72, Takes: 10}, "b": {Urgency: 1, Latest: 92, Takes: 5, Until: 10},
-		"c": {Urgency: 0, Latest: 92, Takes: 20, Until: 10}, "d": {Urgency: 1, Latest: 100, Takes: 8, Until: 30},
-		"e": {Urgency: 0, Latest: 300, Takes: 1, Until: 30},
+		"a": {Urgency: 0, Latest: 72, Takes: 10}, "b": {Urgency: 1, Latest: 92, Takes: 5},
+		"c": {Urgency: 0, Latest: 92, Takes: 20}, "d": {Urgency: 1, Latest: 100, Takes: 8},
+		"e": {Urgency: 0, Latest: 300, Takes: 1},
 	} {
 		if w, ok := g.Weight(id); !ok || w != want {
 			t.Errorf("%s: %+v, not %+v", id, w, want)
