The client's test reads what its servers saw under their lock

The test read the bodies and times that the stand-in's handler had written without the lock that the handler takes; whether a read of the answer orders the two depends on which system calls the race detector sees. The client itself was ruled out: both sides of the race are in the test. Change: the test asks seen(), which takes the lock, at all three places.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -57,6 +57,14 @@
 	return l.Addr().String()
 }
 
+// seen are the bodies that came and when. They are read under the lock: an answer that the
+// client has read does not order what the server's goroutine wrote before it.
+func (s *script) seen() ([][]byte, []time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bodies, s.at
+}
+
 func clientOf(t *testing.T, hosts ...string) *Client {
 	c, err := New(hosts, "")
 	if err != nil {
@@ -77,12 +85,15 @@
 		t.Fatalf("%+v, %v", s, err)
 	}
 	for _, x := range []*script{down, broken, busy, up} {
-		w, err := wire.DecodeJob(x.bodies[0])
+		bodies, _ := x.seen()
+		w, err := wire.DecodeJob(bodies[0])
 		if err != nil || w.ID != j.ID || w.Tasks != 1 || w.Urgency != wire.UrgencyNormal {
 			t.Fatalf("%+v, %v", w, err)
 		}
 	}
-	if d := up.at[0].Sub(busy.at[0]); d < 990*time.Millisecond {
+	_, asked := busy.seen()
+	_, taken := up.seen()
+	if d := taken[0].Sub(asked[0]); d < 990*time.Millisecond {
 		t.Fatalf("Retry-After was kept for %v only", d)
 	}
 }
@@ -99,8 +110,9 @@
 		if !errors.Is(err, kind) || !errors.As(err, &e) || e.Text != "because" || e.Status != status {
 			t.Errorf("%d: %v", status, err)
 		}
-		if again := len(x.at) > 1; again != (kind == ErrNotNow) {
-			t.Errorf("%d was sent %d times", status, len(x.at))
+		_, at := x.seen()
+		if again := len(at) > 1; again != (kind == ErrNotNow) {
+			t.Errorf("%d was sent %d times", status, len(at))
 		}
 	}
 	ctx, stop := context.WithTimeout(context.Background(), 100*time.Millisecond)
