A body that is too long is tested by what its header says

The server was ruled out: the answer is written first, as for any HTTP server that refuses by Content-Length. Change: the test sends the header alone over its own connection and reads the answer.

--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -1,9 +1,10 @@
 package api
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"net"
-	"strings"
 	"testing"
 	"time"
 
@@ -71,7 +72,6 @@
 		{"GET", "/v2/runs/job-2", nil, 503, "1"},
 		{"POST", "/v2/runs/job-1/abort", nil, 503, "1"}, // the engine is busy
 		{"POST", "/v2/runs", []byte("{}"), 400, ""},
-		{"POST", "/v2/runs", []byte(strings.Repeat("x", wire.MaxBody+1)), 400, ""},
 		{"POST", "/v1/report", []byte{0xc1}, 400, ""},
 		{"POST", "/v1/report", wire.Encode(wire.Report{Machine: "n-1"}), 421, ""},
 		{"GET", "/elsewhere", nil, 404, ""},
@@ -84,6 +84,17 @@
 	if status, _ := do(t, c, "GET", "/ready", nil); status != 200 {
 		t.Errorf("ready: %d", status)
 	}
+	// A body that is too long is refused by what its header says. It is not sent here: the
+	// answer may overtake it and close the connection, as a client sees it at times.
+	conn, err := c.Dial("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(conn, "POST /v2/runs HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", wire.MaxBody+1)
+	var resp fasthttp.Response
+	if err := resp.Read(bufio.NewReader(conn)); err != nil || resp.StatusCode() != 400 {
+		t.Errorf("a body that is too long: %d, %v", resp.StatusCode(), err)
+	}
 }
 
 // However many polls are under way, a report and a submission still come in, and the
