--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -20,7 +20,8 @@
 	gpus    map[string]float64
 	Starts  int // tasks that started on a machine
 	Asked   int // requests,
-	Served  int // and those that got another answer than to come again later
+	Served  int // and those that got another answer than to come again later,
+	Late    int // or none at all in time
 }
 
 // Job is a job as its user sees it.
@@ -80,7 +81,10 @@
 		n := w.Nodes[(start+i)%len(w.Nodes)]
 		if n.Alive() && n.Ready {
 			call(w, "users", n.Label, 5*time.Second, func(reply func(core.Reply)) { n.Ask(build, reply) }, got,
-				func() { got(core.Reply{}) })
+				func() {
+					u.Late++
+					got(core.Reply{})
+				})
 			return
 		}
 	}
