A process that is back under an old map speaks for none of its predecessor's machines

A member ended just after it had sent starts, and was back and had called the leader before the next map. Its whole picture, of no machines, carried the epoch in force and its label, so the leader took everything that the former process had been given and not yet told of for lost, and dispatched it again, while the starts were still on their way. Ruled out: the new epoch itself. There what is open counts as perhaps on any machine until all are seen, and late starts are fenced; only the moment before the map was open. Change: the leader ignores what a process tells of machines while the map names another process under its label, and such a process does not send a whole picture, so that a leader of the version in production does not take one either. Story: TestNewProcessUnderAnOldMapSpeaksForNothing; each half of the change alone fails it.

--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -50,6 +50,17 @@
 	return rec != nil && rec.Members[m.c.set.Label] == m.c.boot
 }
 
+// speaksForAnother reports whether the map in force names another process under a label
+// than boot. Until the next map such a process has nothing to say of the label's machines.
+//
+// Guards against taking what the former process was given for lost: a process that was back
+// before the map changed told that it has no machines, and all that had just been given to
+// the former one was started a second time.
+func (m *membership) speaksForAnother(label, boot string) bool {
+	rec := m.c.ledger.mapRec
+	return rec != nil && rec.Members[label] != "" && rec.Members[label] != boot
+}
+
 func (m *membership) epoch() uint64 {
 	if rec := m.c.ledger.mapRec; rec != nil {
 		return rec.Epoch
--- a/internal/core/pictures.go
+++ b/internal/core/pictures.go
@@ -101,7 +101,7 @@
 		return
 	}
 	o.follow()
-	if o.epoch == 0 || m.Epoch != o.epoch {
+	if o.epoch == 0 || m.Epoch != o.epoch || o.c.members.speaksForAnother(label, p.boot) {
 		return
 	}
 	switch {
--- a/internal/core/restarts_test.go
+++ b/internal/core/restarts_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/chalkhub/chalkhub/internal/core"
 	"github.com/chalkhub/chalkhub/internal/fake"
 	"github.com/chalkhub/chalkhub/internal/wire"
 )
@@ -81,3 +82,55 @@
 		})
 	}
 }
+
+// A member that is back at once, while the map still names its former process, has no
+// machines to tell of. That is no word about what its former process was given: its starts
+// may still be on their way, and the leader once took them for lost and had them run twice.
+func TestNewProcessUnderAnOldMapSpeaksForNothing(t *testing.T) {
+	for _, old := range []bool{false, true} { // the leader, as it is in production
+		s := begin(t, 90)
+		for range 12 {
+			s.Cloud.Add("box", "b", true)
+		}
+		s.Run(s.Now + 10*second)
+		if l := s.leader(); old {
+			l.Old = true
+			l.Crash(second / 10)
+			s.Run(s.Now + 10*second)
+		}
+		member, ended, epoch, given := s.follower(), false, uint64(0), map[string]uint64{}
+		s.Link(member.Label, "workers", fake.Link{Delay: 300 * time.Millisecond})
+		s.Applied = func(n *fake.Node, cmds []core.Command, _ time.Duration) {
+			for _, c := range cmds {
+				line, ok := c.(core.PeerLine)
+				if ok && ended && n != member && line.Message.Full && line.Message.Epoch == epoch {
+					t.Error("the new process tells of the former one's machines")
+				}
+				if !ok || n != member {
+					continue
+				}
+				if !ended {
+					epoch = line.Message.Epoch
+				}
+				for _, d := range line.Message.Dispatch {
+					if before := given[d.Task]; before != 0 && before != d.Attempt && before>>28 == d.Attempt>>28 {
+						t.Errorf("%s is dispatched again under one and the same map", d.Task)
+					}
+					given[d.Task] = d.Attempt
+				}
+				if len(given) > 0 && !ended {
+					ended = true
+					s.Link(s.leader().Label, "state", fake.Link{Delay: second / 10}) // the next map takes its time
+					s.After(time.Millisecond/4, func() { n.Crash(second / 50) })     // before anybody hears of it
+				}
+			}
+		}
+		for range 8 {
+			s.Users.Submit(fake.Array(4), 10)
+		}
+		s.within(30*second, "the member ends", func() bool { return ended })
+		s.Run(s.Now + 5*second)
+		s.Link(member.Label, "workers", fake.Link{})
+		s.within(200*second, "the work ends", s.Users.AllTold)
+	}
+}
--- a/internal/core/tell.go
+++ b/internal/core/tell.go
@@ -112,14 +112,16 @@
 		return
 	}
 	m := wire.PeerMessage{Epoch: p.epoch, Unfit: p.fit.unfit}
-	if p.full {
+	// An older leader takes any whole picture of this label for the member's.
+	full := p.full && !c.members.speaksForAnother(c.set.Label, c.boot)
+	if full {
 		m.Full, m.Read = true, p.lastSeq
 		for _, t := range p.assigned {
 			m.Assigned = append(m.Assigned, wire.TaskTry{Task: t.task, Attempt: t.attempt})
 		}
 	}
 	told := p.changed
-	if p.full {
+	if full {
 		told = told[:0]
 		for _, r := range p.rigs.all() {
 			told = append(told, r)
@@ -131,18 +133,18 @@
 	m.Machines = make([]wire.MachineState, 0, len(told))
 	for _, r := range told {
 		r.dirty = false
-		r.whole = r.whole || p.full
+		r.whole = r.whole || full
 		if p.rigs.get(r.name) == r {
 			m.Machines = append(m.Machines, p.picture(r))
 		}
 	}
 	p.changed, p.dropped = p.changed[:0], nil
 	m.Returned = p.returned
-	idle := !p.full && len(m.Machines) == 0 && len(m.Returned) == 0 && len(m.Dropped) == 0
+	idle := !full && len(m.Machines) == 0 && len(m.Returned) == 0 && len(m.Dropped) == 0
 	if idle && c.now.Steady-p.lastSent < c.times.round {
 		return
 	}
-	p.full, p.returned = false, nil
+	p.full, p.returned = p.full && !full, nil
 	p.lastSent = c.now.Steady
 	if p.link == selfLink {
 		c.loop = append(c.loop, func() { c.orch.fromPart(selfLink, &m) })
