A controller that hears nothing from the state service lets its lease end

Cause: found by cutting each direction of each link singly: with the state service's answers to the leader lost, its renewals still arrived and kept its lease, its key and the leader key alive. It was not entitled and did nothing, and nobody could lead: nothing started for as long as the cut lasted. Same for a member and the machines that the map gave it. Ruled out: ending the lease by a request (it needs an answer to know that it worked); giving up the lease's id at once (in an outage that freezes leases, a mended node would have lost its keys for nothing). Change: once nothing came back for as long as entitlement lasts, it renews no more until the lease must have ended, or until its mirror hears the service again. Any answer, a refusal included, counts as hearing.

--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -17,6 +17,8 @@
 
 	lease     uint64
 	leaseSent time.Duration // when the newest answered renewal left
+	askedAt   time.Duration // when the newest renewal left, answered or not
+	unheard   bool          // nothing came back of it
 	asking    bool
 	writing   bool // a write of the node key or the leader key is under way
 	mapping   bool // a write of the map is under way
@@ -87,11 +89,23 @@
 // leaderGuard ties a write to our leadership.
 func (m *membership) leaderGuard() wire.Guard { return m.c.ledger.guard(keyLeader) }
 
+// deaf reports whether the lease is better left to end: nothing has come back from the state
+// service for so long that this node may do nothing, and its renewals may arrive all the same.
+// It asks again once the lease must have ended, or when the mirror hears the service.
+//
+// Guards against a leader whose requests arrive and whose answers do not: its renewals kept
+// its keys alive, so that nobody led and its machines stood still for as long as that lasted.
+func (m *membership) deaf() bool {
+	t := &m.c.times
+	return m.lease != 0 && m.unheard && !m.c.ledger.fresh() && m.c.now.Steady-m.leaseSent >= t.fresh &&
+		m.c.now.Steady-m.askedAt < t.ttl*5/4
+}
+
 func (m *membership) react() {
 	c := m.c
 	c.ledger.step()
-	if !m.asking && (m.lease == 0 || c.now.Steady-m.leaseSent >= c.times.ttl/6) {
-		m.asking = true
+	if !m.asking && (m.lease == 0 || c.now.Steady-m.leaseSent >= c.times.ttl/6) && !m.deaf() {
+		m.asking, m.askedAt = true, c.now.Steady
 		c.emit(Lease{Lease: m.lease, TTL: c.times.ttl})
 	}
 	// In an outage that all see, users are told at once to come again, by nodes that the
@@ -229,7 +243,7 @@
 }
 
 func (m *membership) leased(d LeaseDone) {
-	m.asking = false
+	m.asking, m.unheard = false, d.Status == 0
 	m.c.outage.refused = d.Status != 200 && d.Status != 404
 	switch d.Status {
 	case 200:
