A leader that can serve nobody lets another lead; every subset of cuts is played

Ruled out: a map that names members the leader cannot hear (nobody could dispatch to them); leading by the number of machines reached (the others' evidence does not reach this leader, which is the trouble). Change: package reach, pure: Helm says when a leader that hears no machine, and no member that does, deletes its leader key (guarded by its version), and how long it then leaves the place to others: a worker's lease, doubled each time up to 64, new again after as long of leading well. It does not stay back if it lives alone or nobody takes the place for the time of a key. If those it cannot hear are none (all say that they reach no machine either), it stays.

--- a/internal/core/links_test.go
+++ b/internal/core/links_test.go
@@ -1,12 +1,239 @@
 package core_test
 
 import (
+	"flag"
+	"fmt"
+	"math/bits"
+	"runtime"
 	"slices"
+	"strings"
+	"sync"
 	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
 
 	"github.com/chalkhub/chalkhub/internal/fake"
 )
 
+// Every subset of cut links of three controllers, and not only the fixed part:
+// go test ./internal/core -run EveryCut -everycut
+// Or one, with its log: -cuts "second<workers third>workers" -debuglogs
+var (
+	everyCut = flag.Bool("everycut", false, "EveryCut plays every subset of cut links")
+	onlyCuts = flag.String("cuts", "", "EveryCut plays this subset alone and shows its log")
+)
+
+// The ends of three controllers' links: the leader, two others, and the rest of the world
+// as one end each. A link is a pair of them.
+var (
+	cutEnds  = []string{"leader", "second", "third", "state", "workers"}
+	cutLinks = [][2]int{{0, 3}, {0, 4}, {1, 3}, {1, 4}, {2, 3}, {2, 4}, {0, 1}, {0, 2}, {1, 2}}
+)
+
+// cutSet is a set of directions that are cut: bit 2i for the one of link i that leaves a
+// controller, bit 2i+1 for the other.
+type cutSet uint32
+
+// bothWays is the set of whole links.
+func bothWays(links uint) (c cutSet) {
+	for i := range cutLinks {
+		c |= cutSet(links>>i&1) * 3 << (2 * i)
+	}
+	return c
+}
+
+func (c cutSet) has(link int) bool { return c>>(2*link)&3 != 0 }
+
+// mirrored is the same set with the second controller for the third: the same story.
+func (c cutSet) mirrored() (m cutSet) {
+	for i, j := range []int{0, 1, 4, 5, 2, 3, 7, 6, 8} {
+		m |= c >> (2 * i) & 3 << (2 * j)
+	}
+	if d := m >> 16 & 3; d == 1 || d == 2 { // the link between the two is turned
+		m ^= 3 << 16
+	}
+	return m
+}
+
+func (c cutSet) String() string {
+	var out []string
+	for i, l := range cutLinks {
+		if sign := []string{"", ">", "<", "-"}[c>>(2*i)&3]; sign != "" {
+			out = append(out, cutEnds[l[0]]+sign+cutEnds[l[1]])
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+// works reports whether work must go on: some controller reaches the state service and the
+// workers, both ways.
+func (c cutSet) works() bool {
+	for n := range 3 {
+		if !c.has(2*n) && !c.has(2*n+1) {
+			return true
+		}
+	}
+	return false
+}
+
+// cutDay is what came of a day with a set of cuts.
+type cutDay struct {
+	name   string
+	starts int           // while it was cut, once everybody had time to act
+	still  time.Duration // the longest time without a start while it was cut
+	late   int           // users who waited for a timeout
+	wrong  string        // what failed otherwise
+	logs   []string
+}
+
+// playCuts plays a day on which the links are cut, and mended in two parts, the set's lower
+// links first or last.
+func playCuts(t testing.TB, c cutSet, how fake.Link, mode string, lowFirst bool) (d cutDay) {
+	d.name = fmt.Sprintf("%s: %s, mended low first %v", mode, c, lowFirst)
+	w := fake.New(7, 3)
+	for i := range 12 {
+		w.Cloud.Add("box", []string{"a", "b"}[i%2], false)
+	}
+	s := &story{World: w, t: t}
+	s.Run(12 * second)
+	ends := []string{s.leader().Label}
+	for _, n := range s.Nodes {
+		if n.Label != ends[0] {
+			ends = append(ends, n.Label)
+		}
+	}
+	ends = append(ends, "state", "workers")
+	set := func(part cutSet, l fake.Link) {
+		for i, x := range cutLinks {
+			if part>>(2*i)&1 != 0 {
+				s.Link(ends[x[0]], ends[x[1]], l)
+			}
+			if part>>(2*i)&2 != 0 {
+				s.Link(ends[x[1]], ends[x[0]], l)
+			}
+		}
+	}
+	const cut, mend, rest = 16 * time.Second, 80 * time.Second, 100 * time.Second
+	for at := 6 * second; at < rest; at += 2 * second {
+		s.At(at, func() {
+			j := fake.Array(2)
+			j.ImageGB, j.EstimateS = 0.1, 3
+			s.Users.Submit(j, 3)
+		})
+	}
+	low := cutSet(0)
+	for i := range cutLinks {
+		if c.has(i) && bits.OnesCount32(uint32(low)) < bits.OnesCount32(uint32(c))/2 {
+			low |= c & (3 << (2 * i))
+		}
+	}
+	first, last := low, c&^low
+	if !lowFirst {
+		first, last = last, first
+	}
+	s.Run(cut)
+	set(c, how)
+	seen, at := s.Users.Starts, s.Now
+	for s.Now < mend {
+		s.Run(s.Now + second/4)
+		if s.Users.Starts != seen {
+			seen, at = s.Users.Starts, s.Now
+		}
+		d.still = max(d.still, s.Now-at)
+		if s.Now <= mend-20*second {
+			d.starts = s.Users.Starts
+		}
+	}
+	d.starts = s.Users.Starts - d.starts
+	d.late = s.Users.Late
+	set(first, fake.Link{})
+	s.Run(rest)
+	set(last, fake.Link{})
+	if !s.Until(rest+150*second, s.Users.AllTold) {
+		d.wrong = "the work does not end"
+	}
+	if len(s.Broken) > 0 {
+		d.wrong = strings.Join(s.Broken, "\n")
+	}
+	d.logs = s.Logs
+	return d
+}
+
+// TestEveryCut cuts links between three controllers, the state service and the workers:
+// each link singly and in pairs, each direction singly, and everything a controller has;
+// with a flag every subset. Whatever is cut, no rule is broken and the work ends once it
+// is mended; while it is cut, work starts if some controller reaches both the state
+// service and the workers, and no user waits in vain for an answer.
+func TestEveryCut(t *testing.T) {
+	t.Parallel()
+	most := 2
+	if *everyCut {
+		most = len(cutLinks)
+	}
+	var sets []cutSet
+	add := func(c cutSet) {
+		if !slices.Contains(sets, c) && !slices.Contains(sets, c.mirrored()) {
+			sets = append(sets, c)
+		}
+	}
+	for links := uint(1); links < 1<<len(cutLinks); links++ {
+		if bits.OnesCount(links) <= most {
+			add(bothWays(links))
+		}
+	}
+	for i := range 2 * len(cutLinks) {
+		add(1 << i)
+		for j := range i {
+			if *everyCut {
+				add(1<<i | 1<<j)
+			}
+		}
+	}
+	var mu sync.Mutex
+	var days []cutDay
+	var g errgroup.Group
+	g.SetLimit(runtime.NumCPU())
+	if *onlyCuts != "" {
+		sets = slices.DeleteFunc(sets, func(c cutSet) bool { return c.String() != *onlyCuts })
+	}
+	for _, c := range sets {
+		for mode, how := range map[string]fake.Link{"held": fake.Held, "dropped": fake.Dropped} {
+			for _, lowFirst := range []bool{true, false} {
+				if bits.OnesCount32(uint32(c)) <= 2 && !lowFirst && !*everyCut {
+					continue
+				}
+				g.Go(func() error {
+					d := playCuts(t, c, how, mode, lowFirst)
+					if d.wrong == "" && c.works() && d.starts == 0 {
+						d.wrong = "nothing starts"
+					}
+					if d.wrong == "" && d.late > 0 {
+						d.wrong = fmt.Sprintf("%d users wait for an answer that never comes", d.late)
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					days = append(days, d)
+					return nil
+				})
+			}
+		}
+	}
+	g.Wait()
+	slices.SortFunc(days, func(a, b cutDay) int { return strings.Compare(a.name, b.name) })
+	failed := 0
+	for _, d := range days {
+		if d.wrong != "" {
+			failed++
+			t.Errorf("%s: %s", d.name, d.wrong)
+		}
+		if *onlyCuts != "" {
+			t.Logf("%s: %d starts\n%s", d.name, d.starts, strings.Join(d.logs, "\n"))
+		}
+	}
+	t.Logf("%d sets of cuts, %d days, %d failed", len(sets), len(days), failed)
+}
+
 // leadsBut reports whether another than n leads, whatever n itself believes.
 func (s *story) leadsBut(n *fake.Node) bool {
 	return slices.ContainsFunc(s.Nodes, func(x *fake.Node) bool { return x != n && x.Alive() && x.Core.Leads() })
@@ -26,3 +253,50 @@
 		s.within(40*second, "it takes part again", func() bool { return n.Ready })
 	}
 }
+
+// A leader that reaches the state service and neither a machine nor a member lets another
+// lead, once; while all machines are silent and the others say that they hear none either,
+// the leader stays.
+func TestLeaderThatReachesNobodyHandsOver(t *testing.T) {
+	s := busy(t, 410, 10*second)
+	for range 6 {
+		s.Cloud.Add("box", "b", false)
+	}
+	s.Run(s.Now + 10*second)
+	n, changes := s.leader(), 0
+	for _, other := range []string{"workers", "node-0", "node-1", "node-2"} {
+		if other != n.Label {
+			s.Cut(n.Label, other, false)
+		}
+	}
+	s.within(30*second, "another leads", func() bool { return s.leadsBut(n) })
+	for range 600 {
+		was := s.leads()
+		s.Run(s.Now + second)
+		if s.leads() != was {
+			changes++
+		}
+	}
+	if changes > 0 {
+		t.Fatalf("the leader changed %d times in ten minutes of one and the same cut", changes)
+	}
+	s.within(10*second, "the work has ended meanwhile", s.Users.AllTold)
+
+	s = busy(t, 411, 10*second)
+	n = s.leader()
+	for range 6 {
+		s.Cloud.Add("box", "b", false)
+	}
+	s.Run(s.Now + 10*second)
+	for _, x := range s.Nodes {
+		s.Cut(x.Label, "workers", false)
+	}
+	s.Run(s.Now + 60*second)
+	for _, x := range s.Nodes {
+		s.Mend(x.Label, "workers")
+	}
+	if s.leads() != n {
+		t.Fatal("the leader changed although nobody else reaches more")
+	}
+	s.within(200*second, "the work ends", s.Users.AllTold)
+}
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/chalkhub/chalkhub/internal/reach"
 	"github.com/chalkhub/chalkhub/internal/wire"
 )
 
@@ -26,6 +27,8 @@
 	readyNow  bool
 	target    string
 
+	helm     reach.Helm
+	empty    time.Duration // since when nobody leads
 	ledSince time.Duration // since when the leader key is ours
 	leading  bool
 	away     map[string]time.Duration // controllers outside the map, since when
@@ -34,7 +37,7 @@
 }
 
 func newMembership(c *Core) *membership {
-	return &membership{c: c, target: "\x00", away: map[string]time.Duration{}}
+	return &membership{c: c, target: "\x00", away: map[string]time.Duration{}, helm: reach.Helm{Span: c.times.lease}}
 }
 
 // entitled reports whether this node may answer workers and users act on it:
@@ -150,7 +153,14 @@
 	// A leader that was restarted takes its own key over at once: its former
 	// process is surely dead, and whatever that one still has in flight is
 	// guarded by the version this write ends.
-	if l := c.ledger.leader; l == nil || l.Label == c.set.Label && l.Boot != c.boot {
+	l := c.ledger.leader
+	if l != nil {
+		m.empty = c.now.Steady
+	}
+	if l == nil && m.helm.StaysBack(c.now.Steady, len(c.ledger.nodes) > 1, c.now.Steady-m.empty, c.times.ttl) {
+		return
+	}
+	if l == nil || l.Label == c.set.Label && l.Boot != c.boot {
 		op := wire.Op{Put: keyLeader, Value: wire.LeaderRecord{Label: c.set.Label, Boot: c.boot}, Lease: m.lease}
 		m.write([]wire.Guard{c.ledger.guard(keyLeader)}, op)
 		return
@@ -194,7 +204,11 @@
 }
 
 // keepMap writes a new map when the members are not who they should be: those
-// with a live key that this leader can hear.
+// with a live key that this leader can hear. If nobody is left whose machines answer, and
+// others live that it cannot hear, it lets one of them lead.
+//
+// Guards against a leader that reaches the state service alone: it kept the map to itself,
+// and nothing started, while another reached both the state service and the machines.
 func (m *membership) keepMap() {
 	c := m.c
 	if m.mapping {
@@ -207,7 +221,7 @@
 	clear(m.want) // looked at with every batch of commands
 	want := m.want
 	settled := c.now.Steady-m.ledSince > c.times.report
-	missing := false
+	missing, unheard := false, false
 	for label, n := range c.ledger.nodes {
 		switch {
 		case label == c.set.Label:
@@ -218,8 +232,15 @@
 			want[label] = n.Boot
 		default:
 			missing = true
+			unheard = unheard || !c.orch.saysUnfit(label, n.Boot)
 		}
 	}
+	if m.helm.Idle(c.now.Steady, len(want) == 0 && unheard, c.times.lease/4) && !m.writing {
+		c.info("no machine can be heard here or by any member, another that is not heard may lead")
+		m.helm.HandedOver(c.now.Steady)
+		m.write([]wire.Guard{m.leaderGuard()}, wire.Op{Delete: keyLeader})
+		return
+	}
 	if len(want) == 0 {
 		want[c.set.Label] = c.boot
 	}
--- a/internal/core/pictures.go
+++ b/internal/core/pictures.go
@@ -67,8 +67,17 @@
 // hears reports whether a member's link stands and is alive.
 func (o *orchestrator) hears(label, boot string) bool {
 	p := o.parts[label]
-	return p != nil && p.session != 0 && p.boot == boot && !p.unfit &&
-		o.c.now.Steady-p.heard < 2*o.c.times.report+o.c.times.round
+	return p.alive(o.c, boot) && !p.unfit
+}
+
+// saysUnfit reports whether a controller is heard and says that it reaches no machine.
+func (o *orchestrator) saysUnfit(label, boot string) bool {
+	p := o.parts[label]
+	return p.alive(o.c, boot) && p.unfit
+}
+
+func (p *partView) alive(c *Core, boot string) bool {
+	return p != nil && p.session != 0 && p.boot == boot && c.now.Steady-p.heard < 2*c.times.report+c.times.round
 }
 
 // word takes what a controller says in a round of the vigil.
