A leader without machines keeps the map while it lets another lead

It wrote two maps more, the last of itself alone, and every machine lost the member that served it; 4.6 s later another led and took them all again. Change: while there is nobody to put into a map but others live unheard, the map stays as it is, and the wait before handing over is one report period for a quarter of a lease (what is waited for has its own delay before). Story: TestLeaderWithoutMachinesTakesNone. Before: a map of the leader alone. After: none, another leads within 6 s.

--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -235,12 +235,18 @@
 			unheard = unheard || !c.orch.saysUnfit(label, n.Boot)
 		}
 	}
-	if m.helm.Idle(c.now.Steady, len(want) == 0 && unheard, c.times.lease/4) && !m.writing {
+	idle := len(want) == 0 && unheard
+	if m.helm.Idle(c.now.Steady, idle, c.times.report) && !m.writing {
 		c.info("no machine can be heard here or by any member, another that is not heard may lead")
 		m.helm.HandedOver(c.now.Steady)
 		m.write([]wire.Guard{m.leaderGuard()}, wire.Op{Delete: keyLeader})
 		return
 	}
+	// A map of this node alone would take the machines from those who may well serve them,
+	// just before another leads.
+	if idle {
+		return
+	}
 	if len(want) == 0 {
 		want[c.set.Label] = c.boot
 	}
