A member that has heard no machine for long asks some before it is given any

Ruled out: a wait before joining (it delays those that reach everything, and does not help). Change: outside the map, a controller that no machine has spoken to for a third of a lease, in a report of any machine or an answer, counts as unfit and asks three machines now and then; the first answer makes it fit. The first message over a link says so already. A process that has just begun is not held up: it joins before that time is over. Story: TestMemberThatComesBackWithoutMachinesIsGivenNone. Before: it is back in the map without machines. After: only when they answer, within 12 s.

--- a/internal/core/fitness.go
+++ b/internal/core/fitness.go
@@ -13,6 +13,7 @@
 	probed  int           // how many machines were asked
 	reached time.Duration // when one last answered
 	heard   *rig          // one that was heard when last looked at
+	contact time.Duration // when any machine was last heard, whosever it is
 }
 
 // probes is how many machines are asked at once whether they can be reached.
@@ -32,6 +33,14 @@
 		}
 		return
 	}
+	// Outside the map it is told of few machines or none. What it has not heard for long it
+	// asks first: controllers that came back from a cut took a third of the machines each
+	// time, for the four seconds in which they found that they reach none.
+	if !p.mine && c.ledger.machines.len() > 0 && c.now.Steady-f.contact >= c.times.lease/3 {
+		f.unfit, f.reached, f.till = true, 0, c.now.Steady
+		p.probe()
+		return
+	}
 	if !p.mine || c.now.Steady-p.since < c.times.lease/3 {
 		return
 	}
@@ -81,6 +90,6 @@
 
 func (p *part) inspected(d InspectDone) {
 	if d.OK {
-		p.fit.reached = p.c.now.Steady
+		p.fit.reached, p.fit.contact = p.c.now.Steady, p.c.now.Steady
 	}
 }
--- a/internal/core/links_test.go
+++ b/internal/core/links_test.go
@@ -325,3 +325,31 @@
 	}
 	s.within(200*second, "the work ends", s.Users.AllTold)
 }
+
+// A member that was cut from everything and reaches the state service again, but no machine,
+// is not given any; once machines answer it, it is.
+func TestMemberThatComesBackWithoutMachinesIsGivenNone(t *testing.T) {
+	s := busy(t, 430, 10*second)
+	for range 6 {
+		s.Cloud.Add("box", "b", false)
+	}
+	s.Run(s.Now + 10*second)
+	n := s.follower()
+	for _, end := range []string{"state", "workers", "node-0", "node-1", "node-2"} {
+		if end != n.Label {
+			s.Cut(n.Label, end, true)
+		}
+	}
+	s.Run(s.Now + 30*second)
+	s.Logs = nil
+	for _, end := range []string{"state", "node-0", "node-1", "node-2"} {
+		s.Mend(n.Label, end)
+	}
+	s.Run(s.Now + 20*second)
+	if s.said("controller is back in the map") {
+		t.Fatal("it is given machines that it does not reach")
+	}
+	s.Mend(n.Label, "workers")
+	s.within(12*second, "it takes part again", func() bool { return s.said("controller is back in the map") })
+	s.within(200*second, "the work ends", s.Users.AllTold)
+}
--- a/internal/core/pictures.go
+++ b/internal/core/pictures.go
@@ -98,6 +98,7 @@
 	}
 	if m.Hello != nil {
 		o.hello(session, m.Hello)
+		o.parts[m.Hello.Label].unfit = m.Unfit
 		return
 	}
 	p := o.parts[label]
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -5,6 +5,7 @@
 // report takes a worker's report and answers it.
 func (p *part) report(id RequestID, rep *wire.Report) {
 	c := p.c
+	p.fit.contact = c.now.Steady
 	if c.ledger.ready {
 		if e := c.members.epoch(); e != p.epoch {
 			p.newEpoch(e)
--- a/internal/core/tell.go
+++ b/internal/core/tell.go
@@ -22,7 +22,7 @@
 		}
 	}
 	p.lastRead = p.c.now.Steady
-	p.c.emit(PeerSend{Session: session, Message: wire.PeerMessage{Hello: &wire.Hello{Label: p.c.set.Label, Boot: p.c.boot}}})
+	p.c.emit(PeerSend{Session: session, Message: wire.PeerMessage{Hello: &wire.Hello{Label: p.c.set.Label, Boot: p.c.boot}, Unfit: p.fit.unfit}})
 }
 
 func (p *part) linkDown(session uint64) {
