A controller that loses the machines knows it soon after a report period

Ruled out: believing one silence at once (a process that stood still has heard nobody); one machine's silence (it may be dead). Change: a member notes when any machine last spoke to it, whosever it is. Once that is half of a quiet span ago (a report period and a quarter, and the time in which one of n machines that report at random is heard but once in three thousand; a third of a lease at most) it asks three machines, and leaves after half a quiet span more without any word. The old way, its own machines unheard for a third of a lease, stays. Story: TestLostMachinesAreSoonNoticed; standing still for 5 s does not count.

--- a/internal/core/fitness.go
+++ b/internal/core/fitness.go
@@ -14,6 +14,7 @@
 	reached time.Duration // when one last answered
 	heard   *rig          // one that was heard when last looked at
 	contact time.Duration // when any machine was last heard, whosever it is
+	doubt   time.Duration // since when that is doubtfully long ago, 0: it is not
 }
 
 // probes is how many machines are asked at once whether they can be reached.
@@ -41,20 +42,31 @@
 		p.probe()
 		return
 	}
-	if !p.mine || c.now.Steady-p.since < c.times.lease/3 {
+	if !p.mine {
+		return
+	}
+	if !p.doubtful() {
+		f.doubt = 0
+	} else {
+		if f.doubt == 0 {
+			f.doubt = c.now.Steady
+		}
+		p.probe()
+		if c.now.Steady-f.doubt >= p.quiet()/2 && p.registered() >= 2 {
+			p.leave()
+			return
+		}
+	}
+	if c.now.Steady-p.since < c.times.lease/3 {
 		return
 	}
 	if r := f.heard; r != nil && r.trusted && p.rigs.get(r.name) == r && c.now.Steady-r.heard < c.times.lease/3 {
 		f.times = 0
 		return
 	}
-	n := 0
 	for _, r := range p.rigs.all() {
-		if !r.registered {
-			continue // it may be gone: nobody is told of machines that were withdrawn
-		}
-		n++
-		if c.now.Steady-r.heard < c.times.lease/3 {
+		// One that is not registered may be gone: nobody is told of those withdrawn.
+		if r.registered && c.now.Steady-r.heard < c.times.lease/3 {
 			if r.trusted {
 				f.times = 0
 			}
@@ -62,15 +74,48 @@
 			return
 		}
 	}
-	if n < 2 {
-		return
+	if p.registered() >= 2 {
+		p.leave()
 	}
+}
+
+// quiet is how long no machine may be heard, until this node leaves the map: a report
+// period and a quarter, and the time in which one of n machines that report at random is
+// heard but once in three thousand; a third of a lease at most.
+func (p *part) quiet() time.Duration {
+	t := &p.c.times
+	return min(t.lease/3, t.report*5/4+8*t.report/time.Duration(max(p.rigs.len(), 1)))
+}
+
+// doubtful reports whether no machine has been heard for half of that. Then some are asked
+// whether they can be reached, and their answer is as good as a report. Only after as long
+// again is it believed.
+//
+// Guards against the word of a process that stood still: it has heard nobody, and all that
+// was said to it is still to be read.
+func (p *part) doubtful() bool {
+	return p.mine && p.rigs.len() >= 2 && p.c.now.Steady-p.fit.contact >= p.quiet()/2
+}
+
+// leave gives the place in the map up.
+func (p *part) leave() {
+	c, f := p.c, &p.fit
 	// Each time in vain it stays away for twice as long: when it is the machines
 	// that are dead, leaving and joining in turn kept every new owner from ever
 	// finding that out.
 	f.unfit, f.reached, f.till = true, 0, c.now.Steady+c.times.lease<<min(f.times, 6)
 	f.times++
-	c.info("none of this node's machines can be heard, leaving the map", "machines", n)
+	c.info("none of this node's machines can be heard, leaving the map", "machines", p.rigs.len())
+}
+
+// registered is how many machines are surely expected to report.
+func (p *part) registered() (n int) {
+	for _, r := range p.rigs.all() {
+		if r.registered {
+			n++
+		}
+	}
+	return n
 }
 
 // probe asks a few machines, others each time, whether they can be reached.
--- a/internal/core/links_test.go
+++ b/internal/core/links_test.go
@@ -353,3 +353,21 @@
 	s.within(12*second, "it takes part again", func() bool { return s.said("controller is back in the map") })
 	s.within(200*second, "the work ends", s.Users.AllTold)
 }
+
+// A controller that loses the machines knows it soon after a report period, whatever the
+// lease; one that only stood still does not leave the map.
+func TestLostMachinesAreSoonNoticed(t *testing.T) {
+	s := busy(t, 440, 10*second)
+	for range 60 {
+		s.Cloud.Add("box", "b", false)
+	}
+	s.Run(s.Now + 10*second)
+	n := s.follower()
+	n.StandStill(5 * second) // less than its lease
+	s.Run(s.Now + 15*second)
+	if s.said("leaving the map") {
+		t.Fatal("it leaves the map for having stood still")
+	}
+	s.Cut(n.Label, "workers", false)
+	s.within(4*second, "it leaves the map", func() bool { return s.said("leaving the map") })
+}
