A leader in doubt of its own links drops nobody, and one without machines leads last

Then a controller that knew it reached none took the empty place first, and held it for 5 s. Ruled out: holding the map whenever a member is not heard (a take-over after a crash is 10 s faster without; that of a healthy leader stays as it is). Change: while no machine has been heard for half a quiet span, a leader takes no member out that lives and is not heard; it waits one round before it hands over; and a controller that reaches no machine leaves an empty place to others for a round. Story: TestLeaderWithoutMachinesTakesNone, cut and refused 2 s apart. Before: a map of itself alone.

--- a/internal/core/links_test.go
+++ b/internal/core/links_test.go
@@ -302,28 +302,32 @@
 }
 
 // A leader without machines that loses its members' links lets another lead, and does not
-// take the machines that they serve meanwhile.
+// take the machines that they serve meanwhile, be it that it knows already or finds out.
 func TestLeaderWithoutMachinesTakesNone(t *testing.T) {
-	s := busy(t, 420, 10*second)
-	for range 6 {
-		s.Cloud.Add("box", "b", false)
-	}
-	s.Run(s.Now + 10*second)
-	n := s.leader()
-	s.Cut(n.Label, "workers", false)
-	s.within(15*second, "it leaves the map", func() bool { return s.said("leaving the map") })
-	s.Run(s.Now + 5*second)
-	for _, x := range s.Nodes {
-		if x != n {
-			s.Between(n.Label, x.Label, fake.Refused)
+	for seed, knows := range []bool{true, false} {
+		s := busy(t, 420+uint64(seed), 10*second)
+		for range 60 {
+			s.Cloud.Add("box", "b", false)
 		}
+		s.Run(s.Now + 10*second)
+		n := s.leader()
+		s.Cut(n.Label, "workers", false)
+		if s.Run(s.Now + 2*second); knows {
+			s.within(15*second, "it leaves the map", func() bool { return s.said("leaving the map") })
+			s.Run(s.Now + 5*second)
+		}
+		for _, x := range s.Nodes {
+			if x != n {
+				s.Between(n.Label, x.Label, fake.Refused)
+			}
+		}
+		s.within(6*second, "another leads", func() bool { return s.leadsBut(n) })
+		s.Run(s.Now + 20*second)
+		if s.said("members [" + n.Label + "]") {
+			t.Fatal("it took all machines for itself, and reaches none")
+		}
+		s.within(200*second, "the work ends", s.Users.AllTold)
 	}
-	s.within(6*second, "another leads", func() bool { return s.leadsBut(n) })
-	s.Run(s.Now + 20*second)
-	if s.said("members [" + n.Label + "]") {
-		t.Fatal("it took all machines for itself, and reaches none")
-	}
-	s.within(200*second, "the work ends", s.Users.AllTold)
 }
 
 // A member that was cut from everything and reaches the state service again, but no machine,
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -157,8 +157,9 @@
 	if l != nil {
 		m.empty = c.now.Steady
 	}
-	if l == nil && m.helm.StaysBack(c.now.Steady, len(c.ledger.nodes) > 1, c.now.Steady-m.empty, c.times.ttl) {
-		return
+	others, empty := len(c.ledger.nodes) > 1, c.now.Steady-m.empty
+	if l == nil && (m.helm.StaysBack(c.now.Steady, others, empty, c.times.ttl) || c.part.fit.unfit && others && empty < c.times.round) {
+		return // one who reaches machines should lead
 	}
 	if l == nil || l.Label == c.set.Label && l.Boot != c.boot {
 		op := wire.Op{Put: keyLeader, Value: wire.LeaderRecord{Label: c.set.Label, Boot: c.boot}, Lease: m.lease}
@@ -236,15 +237,15 @@
 		}
 	}
 	idle := len(want) == 0 && unheard
-	if m.helm.Idle(c.now.Steady, idle, c.times.report) && !m.writing {
+	if m.helm.Idle(c.now.Steady, idle, c.times.round) && !m.writing {
 		c.info("no machine can be heard here or by any member, another that is not heard may lead")
 		m.helm.HandedOver(c.now.Steady)
 		m.write([]wire.Guard{m.leaderGuard()}, wire.Op{Delete: keyLeader})
 		return
 	}
 	// A map of this node alone would take the machines from those who may well serve them,
-	// just before another leads.
-	if idle {
+	// just before another leads, or before this node knows that it reaches none.
+	if idle || unheard && c.part.doubtful() && !c.part.fit.unfit {
 		return
 	}
 	if len(want) == 0 {
