A member whose machines hear nothing of it gives them up

Cause: with what a member sends to the machines lost, their reports still came. It answered them in vain, took them for well and kept its place; their leases ended and their tasks with them, again and again for as long as that lasted. With their answers lost it was the same. Ruled out: waiting for tokens that never come back (only after a new map); the sessions that end (a lease later, and the tasks are gone). Change: calls to machines without an answer are counted since the last that was answered. Two, and three machines are asked whether they can be reached; none answers for a quiet span and two report periods, and the member leaves the map, as one that hears nothing does. Story: TestHalfALinkToTheMachines. Before: it never leaves.

--- a/internal/core/fence.go
+++ b/internal/core/fence.go
@@ -99,9 +99,7 @@
 }
 
 func (p *part) didDo(d *DoDone) {
-	if d.Status != 0 {
-		p.fit.contact = p.c.now.Steady
-	}
+	p.called(d.Status != 0)
 	if p.fences[d.ID] {
 		delete(p.fences, d.ID)
 		defer p.askNext()
--- a/internal/core/fitness.go
+++ b/internal/core/fitness.go
@@ -15,6 +15,8 @@
 	heard   *rig          // one that was heard when last looked at
 	contact time.Duration // when any machine was last heard, whosever it is
 	doubt   time.Duration // since when that is doubtfully long ago, 0: it is not
+	lost    int           // calls to machines without an answer since one was answered
+	lostAt  time.Duration // the first of them
 }
 
 // probes is how many machines are asked at once whether they can be reached.
@@ -57,6 +59,15 @@
 			return
 		}
 	}
+	// Machines may be heard, and hear nothing: then each report is answered in vain, and
+	// their tasks ended with their leases while this node held on to them.
+	if f.lost >= 2 {
+		p.probe()
+		if c.now.Steady-f.lostAt >= p.quiet()+2*c.times.report && p.registered() >= 2 {
+			p.leave()
+			return
+		}
+	}
 	if c.now.Steady-p.since < c.times.lease/3 {
 		return
 	}
@@ -103,7 +114,7 @@
 	// Each time in vain it stays away for twice as long: when it is the machines
 	// that are dead, leaving and joining in turn kept every new owner from ever
 	// finding that out.
-	f.unfit, f.reached, f.till = true, 0, c.now.Steady+c.times.lease<<min(f.times, 6)
+	f.unfit, f.reached, f.till, f.lost = true, 0, c.now.Steady+c.times.lease<<min(f.times, 6), 0
 	f.times++
 	c.info("none of this node's machines can be heard, leaving the map", "machines", p.rigs.len())
 }
@@ -133,8 +144,22 @@
 	}
 }
 
+// called takes note of whether a call to a machine was answered.
+func (p *part) called(answered bool) {
+	f, now := &p.fit, p.c.now.Steady
+	switch {
+	case answered:
+		f.contact, f.lost = now, 0
+	case f.lost == 0:
+		f.lost, f.lostAt = 1, now
+	default:
+		f.lost++
+	}
+}
+
 func (p *part) inspected(d InspectDone) {
+	p.called(d.OK)
 	if d.OK {
-		p.fit.reached, p.fit.contact = p.c.now.Steady, p.c.now.Steady
+		p.fit.reached = p.c.now.Steady
 	}
 }
--- a/internal/core/links_test.go
+++ b/internal/core/links_test.go
@@ -375,3 +375,23 @@
 	s.Cut(n.Label, "workers", false)
 	s.within(4*second, "it leaves the map", func() bool { return s.said("leaving the map") })
 }
+
+// A member whose machines are heard and hear nothing gives them up before their leases end,
+// be it that what it sends is lost or that their answers are.
+func TestHalfALinkToTheMachines(t *testing.T) {
+	s := begin(t, 450)
+	for range 30 {
+		s.Cloud.Add("box", "b", true)
+	}
+	for at := 10 * second; at < 90*second; at += second {
+		s.At(at, func() { s.Users.Submit(fake.Array(3), 5) })
+	}
+	s.Run(30 * second)
+	n := s.follower()
+	s.Link(n.Label, "workers", fake.Dropped)
+	s.within(13*second, "it leaves the map", func() bool { return s.said("leaving the map") })
+	s.Run(s.Now + 40*second)
+	s.Link(n.Label, "workers", fake.Link{})
+	s.within(60*second, "it takes part again", func() bool { return s.said("joining again") })
+	s.within(200*second, "the work ends", s.Users.AllTold)
+}
