Users are not sent to a controller that the state service does not serve

Ruled out: not ready after one failed watch or renewal alone (one lost packet in two hundred would send users back and forth). Change: a controller whose newest renewal and newest watch both failed is not ready, unless an outage holds that all see.

--- a/internal/core/links_test.go
+++ b/internal/core/links_test.go
@@ -395,3 +395,25 @@
 	s.within(60*second, "it takes part again", func() bool { return s.said("joining again") })
 	s.within(200*second, "the work ends", s.Users.AllTold)
 }
+
+// A controller that the state service does not serve is soon not ready, so that users are
+// sent to others; in an outage that all see, users still find some that tell them to come again.
+func TestUsersAreSentToThoseWhoAreServed(t *testing.T) {
+	s := busy(t, 460, 10*second)
+	n := s.follower()
+	s.Cut(n.Label, "state", false)
+	s.within(3500*time.Millisecond, "it is not ready", func() bool { return !n.Ready })
+	s.Mend(n.Label, "state")
+	s.within(10*second, "it is ready", func() bool { return n.Ready })
+	s.State.Outage(20 * second)
+	nobody := time.Duration(0)
+	for range 200 {
+		s.Run(s.Now + second/10)
+		if !slices.ContainsFunc(s.Nodes, func(n *fake.Node) bool { return n.Ready }) {
+			nobody += second / 10
+		}
+	}
+	if nobody > second {
+		t.Fatalf("for %v of an outage users find nobody", nobody)
+	}
+}
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -113,7 +113,7 @@
 	}
 	// In an outage that all see, users are told at once to come again, by nodes that the
 	// load balancer finds where they were when it is over.
-	ready := m.entitled() || c.outage.holds()
+	ready := m.entitled() && !c.outage.alone() || c.outage.holds()
 	if ready != m.readyNow || !m.readySaid {
 		m.readyNow, m.readySaid = ready, true
 		c.emit(Ready{Yes: ready})
--- a/internal/core/outage.go
+++ b/internal/core/outage.go
@@ -28,6 +28,13 @@
 // out reports whether the state service does not serve this node.
 func (u *outage) out() bool { return u.refused || u.c.ledger.lost }
 
+// alone reports whether neither renewals nor watches are served here. Nothing that users ask
+// can be answered then; others may be served.
+//
+// Guards against users being sent here for as long as this node is still entitled to answer
+// workers: each of their requests waited, and was refused in the end.
+func (u *outage) alone() bool { return u.refused && u.c.ledger.lost }
+
 // holds reports whether workers may be answered although this node is not entitled.
 func (u *outage) holds() bool {
 	return u.c.ledger.ready && u.epoch > 0 && u.epoch == u.c.members.epoch() && u.c.now.Steady < u.till()
