A leader is in doubt only of machines that it expects to hear; stories share a beginning

Read again: a leader with one registered machine, whose silence proves nothing, was in doubt for as long as it was silent, and took nobody out of the map meanwhile. Doubt now needs two registered machines, as leaving does.

--- a/internal/core/fitness.go
+++ b/internal/core/fitness.go
@@ -54,7 +54,7 @@
 			f.doubt = c.now.Steady
 		}
 		p.probe()
-		if c.now.Steady-f.doubt >= p.quiet()/2 && p.registered() >= 2 {
+		if c.now.Steady-f.doubt >= p.quiet()/2 {
 			p.leave()
 			return
 		}
@@ -105,7 +105,7 @@
 // Guards against the word of a process that stood still: it has heard nobody, and all that
 // was said to it is still to be read.
 func (p *part) doubtful() bool {
-	return p.mine && p.rigs.len() >= 2 && p.c.now.Steady-p.fit.contact >= p.quiet()/2
+	return p.mine && p.c.now.Steady-p.fit.contact >= p.quiet()/2 && p.registered() >= 2
 }
 
 // leave gives the place in the map up.
--- a/internal/core/links_test.go
+++ b/internal/core/links_test.go
@@ -234,6 +234,16 @@
 	t.Logf("%d sets of cuts, %d days, %d failed", len(sets), len(days), failed)
 }
 
+// withBoxes begins a busy story with so many more machines, all of them under way.
+func withBoxes(t *testing.T, seed uint64, machines int) *story {
+	s := busy(t, seed, 10*second)
+	for range machines {
+		s.Cloud.Add("box", "b", false)
+	}
+	s.Run(s.Now + 10*second)
+	return s
+}
+
 // leadsBut reports whether another than n leads, whatever n itself believes.
 func (s *story) leadsBut(n *fake.Node) bool {
 	return slices.ContainsFunc(s.Nodes, func(x *fake.Node) bool { return x != n && x.Alive() && x.Core.Leads() })
@@ -258,11 +268,7 @@
 // lead, once; while all machines are silent and the others say that they hear none either,
 // the leader stays.
 func TestLeaderThatReachesNobodyHandsOver(t *testing.T) {
-	s := busy(t, 410, 10*second)
-	for range 6 {
-		s.Cloud.Add("box", "b", false)
-	}
-	s.Run(s.Now + 10*second)
+	s := withBoxes(t, 410, 6)
 	n, changes := s.leader(), 0
 	for _, other := range []string{"workers", "node-0", "node-1", "node-2"} {
 		if other != n.Label {
@@ -282,12 +288,8 @@
 	}
 	s.within(10*second, "the work has ended meanwhile", s.Users.AllTold)
 
-	s = busy(t, 411, 10*second)
+	s = withBoxes(t, 411, 6)
 	n = s.leader()
-	for range 6 {
-		s.Cloud.Add("box", "b", false)
-	}
-	s.Run(s.Now + 10*second)
 	for _, x := range s.Nodes {
 		s.Cut(x.Label, "workers", false)
 	}
@@ -305,11 +307,7 @@
 // take the machines that they serve meanwhile, be it that it knows already or finds out.
 func TestLeaderWithoutMachinesTakesNone(t *testing.T) {
 	for seed, knows := range []bool{true, false} {
-		s := busy(t, 420+uint64(seed), 10*second)
-		for range 60 {
-			s.Cloud.Add("box", "b", false)
-		}
-		s.Run(s.Now + 10*second)
+		s := withBoxes(t, 420+uint64(seed), 60)
 		n := s.leader()
 		s.Cut(n.Label, "workers", false)
 		if s.Run(s.Now + 2*second); knows {
@@ -333,11 +331,7 @@
 // A member that was cut from everything and reaches the state service again, but no machine,
 // is not given any; once machines answer it, it is.
 func TestMemberThatComesBackWithoutMachinesIsGivenNone(t *testing.T) {
-	s := busy(t, 430, 10*second)
-	for range 6 {
-		s.Cloud.Add("box", "b", false)
-	}
-	s.Run(s.Now + 10*second)
+	s := withBoxes(t, 430, 6)
 	n := s.follower()
 	for _, end := range []string{"state", "workers", "node-0", "node-1", "node-2"} {
 		if end != n.Label {
@@ -361,11 +355,7 @@
 // A controller that loses the machines knows it soon after a report period, whatever the
 // lease; one that only stood still does not leave the map.
 func TestLostMachinesAreSoonNoticed(t *testing.T) {
-	s := busy(t, 440, 10*second)
-	for range 60 {
-		s.Cloud.Add("box", "b", false)
-	}
-	s.Run(s.Now + 10*second)
+	s := withBoxes(t, 440, 60)
 	n := s.follower()
 	n.StandStill(5 * second) // less than its lease
 	s.Run(s.Now + 15*second)
