Calls lost under an earlier map say nothing of the links under this one

The calls that were lost when the cut began were still counted: its zone's machines had spoken to it all the time, so nothing had been asked, and answered, since. Ruled out: the probes (none was due); doubt by silence (it heard machines throughout). Change: a new map begins the count, and doubt, anew. Story: TestMemberComesBackForGood, with a zone cut off for 60 s. Before: it leaves at once. After: it stays.

--- a/internal/core/links_test.go
+++ b/internal/core/links_test.go
@@ -407,3 +407,28 @@
 		t.Fatalf("for %v of an outage users find nobody", nobody)
 	}
 }
+
+// A member that was cut off with the machines of its zone, and comes back, does not hold the
+// calls that were lost at the beginning of that against its links.
+func TestMemberComesBackForGood(t *testing.T) {
+	s := begin(t, 470)
+	for i := range 30 {
+		s.Cloud.Add("box", []string{"a", "b"}[i%2], true)
+	}
+	s.Run(s.Now + 10*second)
+	n := s.follower()
+	n.Zone = "b"
+	for at := s.Now; at < s.Now+100*second; at += second / 4 {
+		s.At(at, func() { s.Users.Submit(fake.Array(6), 5) })
+	}
+	s.Run(s.Now + 5*second)
+	s.CutZone("b", "", false)
+	s.Run(s.Now + 60*second)
+	s.Logs = nil
+	s.MendZone("b", "")
+	s.within(10*second, "it takes part again", func() bool { return s.said("controller is back in the map") })
+	s.Run(s.Now + 30*second)
+	if s.said("leaving the map") {
+		t.Fatal("it leaves at once, for what was lost during the cut")
+	}
+}
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -162,6 +162,7 @@
 	stayed := p.mine && e == p.epoch+1
 	p.epoch, p.mine = e, c.members.member()
 	p.assigned, p.returned, p.full = nil, nil, true
+	p.fit.lost, p.fit.doubt = 0, 0 // what was lost under an earlier map says nothing of this one
 	p.since, p.tendAt = c.now.Steady, 0
 	for name, rec := range c.ledger.machines.all() {
 		p.machineKnown(name, rec)
