A word of the vigil lists all that its controller may have told of, not its own answers

Cause: a controller told users of cancellations that its mirror held (a repeated request, a commit without an answer that was looked up again, a poll, a repeated submission), but listed only those whose commit it had been answered itself. Where the state service refused the leader alone and then everybody, all words agreed without the job, and the leader kept its tasks alive past cancel_s.

Ruled out: that the round's revisions would show it (they are compared with what was loaded and forgotten only); that a confirmation after a word breaks the promise (span counts from before the word; played by the new property).

Change: vigil.Log notes cancellations as the mirror brings them as well; Word and Ask say that they rest on that (mirrored), and a version that does not say it is no agreement. What was learnt of others is kept until the mirror is newer, not until the node is entitled by an older one. A report whose list is not trusted is answered with stops of cancelled tasks, too.

--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -9,6 +9,7 @@
 
 	"github.com/chalkhub/chalkhub/internal/config"
 	"github.com/chalkhub/chalkhub/internal/pipeline"
+	"github.com/chalkhub/chalkhub/internal/vigil"
 	"github.com/chalkhub/chalkhub/internal/wire"
 )
 
@@ -96,8 +97,7 @@
 	loadSent time.Duration // when that left
 	loadAt   time.Duration // when the next page may be asked for
 
-	told     []toldJob // cancellations that this node has told of
-	toldFrom uint64    // all since this revision
+	cancelled vigil.Log // of which this node may have told
 
 	versions map[string]uint64 // of keys other than jobs
 	jobs     map[string]*job   // that are not over
@@ -392,6 +392,9 @@
 	if err := wire.Decode(value, &rec); err != nil {
 		return err
 	}
+	if rec.State == wire.JobCancelled && version > l.loadRev {
+		l.cancelled.Note(id, version) // what was loaded is told by loadRev
+	}
 	if e, ok := l.ended.jobs[id]; ok {
 		if version > e.version && rec.State != wire.JobQueued {
 			l.ended.put(&rec, version)
@@ -723,7 +726,7 @@
 		l.commit([]wire.Guard{j.ownGuard()}, l.finalOps(j, rec), func(d CommitDone) {
 			switch {
 			case d.Status == 200:
-				l.tell(ref, d.Answer.Revision)
+				l.cancelled.Note(ref, d.Answer.Revision)
 				l.c.emit(Reply{ID: id, Status: 200, Body: wire.JobAnswer{ID: ref, State: wire.JobCancelled, Done: j.doneN}})
 			case (d.Status == 409 || d.Status == 0) && tries < 3:
 				l.abort(id, ref, tries+1) // done came first, or the outcome is open: look again
--- a/internal/core/outage.go
+++ b/internal/core/outage.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"time"
 
 	"github.com/chalkhub/chalkhub/internal/vigil"
@@ -19,11 +20,11 @@
 	leader  vigil.Leader
 	member  vigil.Member
 	epoch   uint64          // that these speak of
-	void    map[string]bool // jobs that somebody was told are cancelled, our mirror perhaps not
+	void    map[string]time.Duration // jobs that somebody was told are cancelled, and when we last learnt of it
 	holding bool            // as was last said
 }
 
-func newOutage(c *Core) *outage { return &outage{c: c, void: map[string]bool{}} }
+func newOutage(c *Core) *outage { return &outage{c: c, void: map[string]time.Duration{}} }
 
 // out reports whether the state service does not serve this node.
 func (u *outage) out() bool { return u.refused || u.c.ledger.lost }
@@ -56,9 +57,8 @@
 	if e := c.members.epoch(); e != u.epoch {
 		u.epoch, u.leader, u.member = e, vigil.Leader{}, vigil.Member{}
 	}
-	if c.members.entitled() {
-		clear(u.void)
-	}
+	// Guards against forgetting them while this node is entitled by a mirror from before.
+	maps.DeleteFunc(u.void, func(_ string, learnt time.Duration) bool { return learnt < c.ledger.freshAt })
 	if now := u.holds() && !c.members.entitled(); now != u.holding {
 		u.holding = now
 		if now {
@@ -101,12 +101,8 @@
 // word is what this node says in a round.
 func (u *outage) word(a *vigil.Ask) vigil.Word {
 	l := u.c.ledger
-	w := vigil.Word{Round: a.Round, Epoch: u.epoch, Out: u.out(), Revision: l.revision, Loaded: l.loadRev, Since: max(a.Since, l.toldFrom)}
-	for _, t := range l.told {
-		if t.revision > w.Since {
-			w.Cancelled = append(w.Cancelled, t.job)
-		}
-	}
+	w := vigil.Word{Round: a.Round, Epoch: u.epoch, Out: u.out(), Revision: l.revision, Loaded: l.loadRev, Mirrored: true}
+	w.Since, w.Cancelled = l.cancelled.Since(a.Since)
 	return w
 }
 
@@ -116,30 +112,15 @@
 	u.cancel(u.leader.Void())
 }
 
+// cancelled reports whether a job is cancelled by another controller's word.
+func (u *outage) cancelled(ref string) bool { _, ok := u.void[ref]; return ok }
+
 // cancel has the tasks of jobs stopped that are cancelled for sure.
 func (u *outage) cancel(jobs []string) {
 	for _, ref := range jobs {
-		if !u.void[ref] {
-			u.void[ref] = true
+		if _, known := u.void[ref]; !known {
 			u.c.debugf("cancelled, as another controller has told", "job", ref)
 		}
+		u.void[ref] = u.c.now.Steady
 	}
 }
-
-// toldJob is a cancellation that this node has told its user of, or is about to.
-type toldJob struct {
-	job      string
-	revision uint64 // of the change
-}
-
-// toldMost is how many of them are remembered; the vigil needs those of the last moments.
-const toldMost = 1024
-
-// tell remembers a cancellation.
-func (l *ledger) tell(job string, revision uint64) {
-	if len(l.told) >= toldMost {
-		l.toldFrom = l.told[0].revision
-		l.told = append(l.told[:0], l.told[1:]...)
-	}
-	l.told = append(l.told, toldJob{job, revision})
-}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -16,7 +16,7 @@
 			continue
 		}
 		j := p.c.ledger.accepted(t.ref)
-		over := j == nil || j.final() || p.c.outage.void[t.ref]
+		over := p.over(t.ref, j)
 		switch {
 		case t.state == wire.TaskExited:
 			// A completed task is cleared only once that is durable, or a crash
@@ -63,6 +63,27 @@
 	return cmds
 }
 
+// over reports whether no task of a job may run; j is what the mirror holds of it.
+func (p *part) over(ref string, j *job) bool {
+	return j == nil || j.final() || p.c.outage.cancelled(ref)
+}
+
+// stops lists what a machine must stop whatever else may be on its way to it, where its list
+// is not to be trusted for more.
+//
+// Guards against renewing a machine's lease with an answer that leaves a cancelled task on it.
+func (p *part) stops(rep *wire.Report) []wire.Command {
+	var cmds []wire.Command
+	for i := range rep.Tasks {
+		t := &rep.Tasks[i]
+		ref, _, err := wire.ParseTask(t.Task)
+		if err == nil && t.State != wire.TaskExited && p.over(ref, p.c.ledger.accepted(ref)) {
+			cmds = append(cmds, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt})
+		}
+	}
+	return cmds
+}
+
 // command sends what is urgent by /do.
 func (p *part) command(r *rig) {
 	r.urgent = false
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -43,11 +43,14 @@
 		p.read(r, rep, 0, true)
 	}
 	var ans wire.ReportAnswer
-	if newest && r.trusted {
+	switch {
+	case newest && r.trusted:
 		if entitled {
 			p.place()
 		}
 		ans.Commands = p.commands(r, 0, entitled)
+	default:
+		ans.Commands = p.stops(rep)
 	}
 	ans.Token = r.token // which the commands may have raised
 	c.emit(Reply{ID: id, Status: 200, Body: ans})
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -1107,21 +1107,27 @@
 	}
 }
 
-// Where one controller is away, or is served while the others are not, the vigil is none:
-// nobody may go on.
+// Where one controller is away, or is served while the others are not, or is of a version that
+// does not list all that it may have told of, the vigil is none: nobody may go on.
 func TestNoVigilWithoutAll(t *testing.T) {
-	for away := range 2 {
+	for away := range 3 {
 		s := begin(t, 530+uint64(away))
 		j := s.Users.Submit(fake.Array(12), 150)
 		s.within(60*second, "all tasks run", func() bool { return j.Running() == 12 })
 		one := s.follower()
-		if away == 1 {
-			one.Crash(0)
-			s.State.Outage(60 * second)
-		} else {
+		switch away {
+		case 0:
 			for _, n := range s.Nodes {
 				s.State.Refuses[n.Label] = n != one
 			}
+		case 1:
+			one.Crash(0)
+			s.State.Outage(60 * second)
+		case 2:
+			one.Old = true
+			one.Crash(second / 5)
+			s.Run(s.Now + 15*second)
+			s.State.Outage(60 * second)
 		}
 		s.Logs = nil
 		s.Run(s.Now + 30*second)
--- a/internal/fake/old.go
+++ b/internal/fake/old.go
@@ -71,3 +71,18 @@
 	t.Then = then
 	return t
 }
+
+// oldSays is what an old controller says to another of a message.
+func oldSays(m wire.PeerMessage) wire.PeerMessage {
+	if m.Word != nil {
+		w := *m.Word
+		w.Mirrored = false
+		m.Word = &w
+	}
+	if m.Ask != nil {
+		a := *m.Ask
+		a.Mirrored = false
+		m.Ask = &a
+	}
+	return m
+}
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -18,10 +18,11 @@
 	running int                // tasks that are on machines
 	cpus    map[string]float64 // that they take, by team
 	gpus    map[string]float64
-	Starts  int // tasks that started on a machine
-	Asked   int // requests,
-	Served  int // and those that got another answer than to come again later,
-	Late    int // or none at all in time
+	Starts  int   // tasks that started on a machine
+	Asked   int   // requests,
+	Served  int   // and those that got another answer than to come again later,
+	Late    int   // or none at all in time
+	Only    *Node // whom all requests go to, nil: to any that is ready
 }
 
 // Job is a job as its user sees it.
@@ -79,7 +80,7 @@
 	start := w.Rand.IntN(len(w.Nodes))
 	for i := range w.Nodes {
 		n := w.Nodes[(start+i)%len(w.Nodes)]
-		if n.Alive() && n.Ready {
+		if n.Alive() && n.Ready && (u.Only == nil || u.Only == n) {
 			call(w, "users", n.Label, 5*time.Second, func(reply func(core.Reply)) { n.Ask(build, reply) }, got,
 				func() {
 					u.Late++
@@ -157,6 +158,9 @@
 	})
 }
 
+// Wants notes that a job's user wants it cancelled, whoever is asked and whatever comes of it.
+func (u *Users) Wants(j *Job) { j.aborting = true }
+
 // hear takes what a node says of a job in answer to a request sent at that time.
 // An answer to a request from before the last word was heard may be older than
 // that word: both were under way at once.
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -444,6 +444,9 @@
 		}
 		n.dial()
 	case core.PeerSend:
+		if n.old {
+			e.Message = oldSays(e.Message)
+		}
 		if l := w.peers[e.Session]; l != nil {
 			l.send(n, e.Message)
 		}
--- a/internal/vigil/vigil.go
+++ b/internal/vigil/vigil.go
@@ -6,7 +6,8 @@
 // have given its machines away. In an outage that all of them see nobody can have done
 // that, and every task would be lost for nothing once the workers' leases end. So the
 // leader asks all controllers in rounds whether they are still in the same epoch, are
-// not served either, and have told nobody of a cancellation that the others do not know.
+// not served either, and which cancellations they may have told of that the others do not
+// know.
 //
 // Why that is safe. A controller that takes a machine over in a later epoch waits until
 // the former owner can have answered no more: span after it entered that epoch. Whoever
@@ -15,6 +16,12 @@
 // k: counted from there, span ends before the new owner's wait does. It takes the word of
 // every controller of the site, in the map or not, so no quorum is counted: where one is
 // missing, all fall silent as they always did.
+//
+// Why no task of a cancelled job is kept by it. A controller tells of a cancellation that
+// its mirror holds, whoever wrote it, or of one that it wrote itself: its Log lists both. What
+// was told before a controller's word is in that word, or in the mirror of whoever answers,
+// and is stopped with each answer; what is told after it finds all answers over within span,
+// since span counts from before the word, unless a later round lists it.
 package vigil
 
 import (
@@ -29,8 +36,11 @@
 	Out       bool     `json:"out"`                 // the state service does not serve it
 	Revision  uint64   `json:"revision"`            // its mirror holds all up to here, 0: it has none
 	Loaded    uint64   `json:"loaded"`              // what it told before it was restarted is no newer
-	Since     uint64   `json:"since"`               // Cancelled lists all it has told since this revision
+	Since     uint64   `json:"since"`               // Cancelled lists all it may have told of since this revision
 	Cancelled []string `json:"cancelled,omitempty"` // jobs
+	// Mirrored says that Cancelled holds what the mirror brought too. An older version lists
+	// only what it wrote itself and was answered: its word is not enough.
+	Mirrored bool `json:"mirrored,omitempty"`
 }
 
 // Ask is the leader's question of a round, with the outcome of the earlier ones.
@@ -39,6 +49,8 @@
 	Since  uint64   `json:"since"`            // list the cancellations told since this revision
 	Agreed uint64   `json:"agreed,omitempty"` // the last round in which all agreed, 0: none
 	Void   []string `json:"void,omitempty"`   // jobs of which somebody was told that they are cancelled
+	// Mirrored says that Agreed rests on words that were.
+	Mirrored bool `json:"mirrored,omitempty"`
 }
 
 // Leader asks the rounds. The zero value is ready.
@@ -67,7 +79,7 @@
 		return Ask{}, false
 	}
 	l.asked, l.done, l.words = now, false, map[string]Word{}
-	return Ask{Round: l.round, Since: l.since, Agreed: l.agreed, Void: l.void}, true
+	return Ask{Round: l.round, Since: l.since, Agreed: l.agreed, Void: l.void, Mirrored: true}, true
 }
 
 // Hear takes a controller's word. epoch is the leader's own; labels are all controllers,
@@ -88,7 +100,7 @@
 	var void []string
 	for _, x := range labels {
 		w := l.words[x]
-		agreed = agreed && w.Out && w.Epoch == epoch && w.Revision > 0
+		agreed = agreed && w.Out && w.Epoch == epoch && w.Revision > 0 && w.Mirrored
 		least = min(least, w.Revision)
 		most = max(most, w.Loaded, w.Since)
 		void = append(void, w.Cancelled...)
@@ -122,7 +134,7 @@
 	if a.Round <= m.last {
 		return // an old question: its answer is not the first
 	}
-	if a.Agreed > 0 && a.Agreed == m.last && m.before+1 == m.last {
+	if a.Mirrored && a.Agreed > 0 && a.Agreed == m.last && m.before+1 == m.last {
 		m.till = max(m.till, m.beforeAt+span)
 	}
 	m.before, m.beforeAt = m.last, m.lastAt
--- a/internal/vigil/vigil_test.go
+++ b/internal/vigil/vigil_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -23,7 +24,7 @@
 )
 
 func word(round, revision uint64) Word {
-	return Word{Round: round, Epoch: 5, Out: true, Revision: revision}
+	return Word{Round: round, Epoch: 5, Out: true, Revision: revision, Mirrored: true}
 }
 
 // rounds plays the leader and one member, with words of the third given by f.
@@ -59,6 +60,7 @@
 		"told more before a restart":     func(w *Word) { w.Loaded = 41 },
 		"does not know what it has told": func(w *Word) { w.Since = 41 },
 		"answers an older question":      func(w *Word) { w.Round-- },
+		"lists its own answers alone":    func(w *Word) { w.Mirrored = false },
 	} {
 		l, m := rounds(4, func(r uint64) Word { w := word(r, 50); change(&w); return w })
 		if l.Till() != 0 || m.Till() != 0 {
@@ -67,6 +69,33 @@
 	}
 }
 
+// A member does not go on with the word of an older leader, who asks for less.
+func TestOlderLeaderIsNotEnough(t *testing.T) {
+	var m Member
+	for r := uint64(1); r < 5; r++ {
+		m.Answer(time.Duration(r)*every, span, Ask{Round: r, Agreed: r - 1})
+	}
+	if m.Till() != 0 {
+		t.Fatal(m.Till())
+	}
+}
+
+func TestLogSaysWhatItHasForgotten(t *testing.T) {
+	var l Log
+	for _, r := range []uint64{7, 5, 6, 5} {
+		l.Note(fmt.Sprint("job-", r), r)
+	}
+	if since, jobs := l.Since(5); since != 5 || !slices.Equal(jobs, []string{"job-7", "job-6"}) {
+		t.Fatal(since, jobs)
+	}
+	for r := range uint64(logMost - 1) {
+		l.Note(fmt.Sprint("job-", 100+r), 100+r)
+	}
+	if since, jobs := l.Since(0); since != 7 || len(jobs) != logMost-1 {
+		t.Fatal(since, len(jobs))
+	}
+}
+
 func TestCancellationsAreHandedOn(t *testing.T) {
 	l, _ := rounds(3, func(r uint64) Word {
 		w := word(r, 50)
@@ -151,3 +180,123 @@
 		}
 	})
 }
+
+// peer is a controller in the property below.
+type peer struct {
+	log    Log
+	mirror uint64          // all up to here
+	void   map[string]bool // that it has learnt of others
+	told   map[string]time.Duration
+}
+
+// Whatever writes get no answer, whoever tells and by whatever it knows, before an outage
+// and while answers from before it still arrive: once a user was told, every controller that
+// goes on for longer than span after that knows of the cancellation.
+func TestWhatAnyUserWasToldIsStopped(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		labels := []string{"a", "b", "c", "d"}[:rapid.IntRange(2, 4).Draw(rt, "controllers")]
+		chance := func(what string, n int) bool { return rapid.IntRange(0, n-1).Draw(rt, what) == 0 }
+		peers, members := map[string]*peer{}, map[string]*Member{}
+		for _, x := range labels {
+			peers[x] = &peer{void: map[string]bool{}, told: map[string]time.Duration{}}
+			members[x] = &Member{}
+		}
+		type event struct {
+			at time.Duration
+			do func()
+		}
+		var events []event
+		now := time.Duration(0)
+		after := func(most int, do func()) {
+			events = append(events, event{now + time.Duration(rapid.IntRange(1, most).Draw(rt, "ms"))*time.Millisecond, do})
+		}
+		var jobs []string // that of revision r is jobs[r-1]
+		tell := func(p *peer, job string) {
+			if _, ok := p.told[job]; !ok {
+				p.told[job] = now
+			}
+		}
+		read := func(p *peer, till uint64) {
+			for ; p.mirror < till; p.mirror++ {
+				p.log.Note(jobs[p.mirror], p.mirror+1)
+			}
+		}
+		const out, end = 800 * time.Millisecond, 4 * time.Second // when the outage begins
+		alone := time.Duration(rapid.IntRange(0, 800).Draw(rt, "the leader is refused at")) * time.Millisecond
+		served := func(x string) bool { return now < out && (x != "a" || now < alone) }
+		var l Leader
+		answer := func(x string, ask Ask) Word {
+			w := Word{Round: ask.Round, Epoch: 5, Out: !served(x), Revision: peers[x].mirror + 1, Mirrored: true}
+			w.Since, w.Cancelled = peers[x].log.Since(max(ask.Since, 1) - 1)
+			w.Since++ // an empty mirror is revision 1 here
+			return w
+		}
+		learn := func(x string, void []string) {
+			for _, j := range void {
+				peers[x].void[j] = true
+			}
+		}
+		for ; now < end; now += 20 * time.Millisecond {
+			for n := 0; n < len(events); n++ {
+				if e := events[n]; e.at <= now {
+					events = slices.Delete(events, n, n+1)
+					n--
+					e.do()
+				}
+			}
+			for _, x := range labels {
+				p := peers[x]
+				if served(x) && chance("cancels", 12) {
+					jobs = append(jobs, fmt.Sprint("job-", len(jobs)))
+					job, r := jobs[len(jobs)-1], uint64(len(jobs))
+					if !chance("no answer", 3) {
+						after(300, func() { p.log.Note(job, r); tell(p, job) })
+					}
+				}
+				if served(x) && chance("reads", 4) {
+					r := uint64(len(jobs))
+					after(300, func() { read(p, r) })
+				}
+				if p.mirror > 0 && chance("asked", 4) {
+					tell(p, jobs[rapid.IntRange(0, int(p.mirror)-1).Draw(rt, "about")])
+				}
+			}
+			if ask, ok := l.Next(now, every, span); ok {
+				l.Hear("a", answer("a", ask), 5, span, labels)
+				for _, x := range labels[1:] {
+					after(60, func() {
+						w := answer(x, ask)
+						members[x].Answer(now, span, ask)
+						learn(x, ask.Void)
+						after(60, func() { l.Hear(x, w, 5, span, labels) })
+					})
+				}
+			}
+			learn("a", l.Void())
+			for _, x := range labels {
+				till := members[x].Till()
+				if x == "a" {
+					till = l.Till()
+				}
+				if now >= till {
+					continue
+				}
+				for _, p := range peers {
+					for job, at := range p.told {
+						known := peers[x].void[job] || slices.Contains(jobs[:peers[x].mirror], job)
+						if !known && now-at > span {
+							rt.Fatalf("%s goes on at %v and does not know of %s, told at %v", x, now, job, at)
+						}
+					}
+				}
+				goesOn++
+			}
+		}
+	})
+	if goesOn == 0 {
+		t.Fatal("nobody ever went on: nothing was shown")
+	}
+}
+
+// goesOn counts the moments in which a controller of the property above went on.
+var goesOn int
