--- a/internal/core/estimator.go
+++ b/internal/core/estimator.go
@@ -209,7 +209,8 @@
 		}
 	}
 	rec.Means = rec.Means[:fit]
-	c.ledger.commit([]wire.Guard{c.members.leaderGuard()}, []wire.Op{{Put: keyEstimate, Value: rec}}, func(d CommitDone) {
+	// Late, an older value must not take a newer one's place.
+	c.ledger.commit([]wire.Guard{c.members.leaderGuard(), c.ledger.guard(keyEstimate)}, []wire.Op{{Put: keyEstimate, Value: rec}}, func(d CommitDone) {
 		e.saving = false
 		if d.Status != 200 {
 			e.changed = true
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -83,3 +83,30 @@
 		})
 	}
 }
+
+// A controller's first write gets no answer; its process ends and the next one is back at
+// once. Carried out late, the former one's write does not take the place of the new one.
+func TestLateWriteOfAFormerProcessIsVoid(t *testing.T) {
+	for seed := range uint64(4) {
+		s := busy(t, 1100+seed, 10*second)
+		n := s.follower()
+		n.Crash(second)
+		s.State.LateFrom, s.State.LateBy = 4*second, 5*second
+		s.within(5*second, "its key is being written", func() bool {
+			s.State.LateShare = 0
+			if n.Alive() {
+				s.State.LateShare = 1
+			}
+			return s.State.Late > 0
+		})
+		s.State.LateShare = 0
+		n.Crash(second / 5)
+		s.within(5*second, "the next process is in the map", func() bool { return s.said("a controller is back in the map") })
+		s.Logs = nil
+		s.Run(s.Now + 12*second)
+		if s.said("a controller is outside the map") {
+			t.Fatalf("it lost its place\n%s", s.lastLogs(*logLines))
+		}
+		s.within(120*second, "the work is done", s.Users.AllTold)
+	}
+}
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -146,8 +146,10 @@
 		return
 	}
 	if c.ledger.nodes[c.set.Label].Boot != c.boot {
+		// Guarded against a write of this label's former process that is carried out late: it
+		// took the place of the new one, whose machines were others' until it wrote again.
 		key := keyNode + c.set.Label
-		m.write(nil, wire.Op{Put: key, Value: wire.NodeRecord{Boot: c.boot, Level: wire.Level}, Lease: m.lease})
+		m.write([]wire.Guard{c.ledger.guard(key)}, wire.Op{Put: key, Value: wire.NodeRecord{Boot: c.boot, Level: wire.Level}, Lease: m.lease})
 		return
 	}
 	// A leader that was restarted takes its own key over at once: its former
--- a/internal/core/worlds_test.go
+++ b/internal/core/worlds_test.go
@@ -41,7 +41,7 @@
 			d.trouble(rt, s)
 		}
 		s.Run(d.over)
-		s.Loss, s.State.LateShare = 0, 0
+		s.Loss, s.State.LateShare, s.Users.Calm = 0, 0, s.Now
 		s.rules()
 		s.Run(s.Now + 3*d.lease())
 		asked, served := s.Users.Asked, s.Users.Served
@@ -195,7 +195,7 @@
 		s.Cloud.NeverUp, s.Cloud.Boots = 3, 3
 	}
 	s.Loss = between(rt, "lost packets", 0, 0.02)
-	s.State.LateShare, s.State.LateBy = between(rt, "late transactions", 0, 0.05), 5*second
+	s.State.LateShare, s.State.LateBy = between(rt, "late transactions", 0, 0.05), 12*second
 }
 
 // upgrade may begin with old controllers that come back as new ones, one after another
@@ -301,6 +301,29 @@
 	return names
 }
 
+func (d *deployment) cancelS() time.Duration { return config.Seconds(d.set.Site.Workers.CancelS) }
+
+// cancel has users cancel up to n of the jobs that are under way.
+func (d *deployment) cancel(s *story, n int) {
+	for _, j := range d.jobs {
+		if j.Told == wire.JobRunning && n > 0 {
+			s.Users.Abort(j)
+			n--
+		}
+	}
+}
+
+// peers names the state service and all controllers but one.
+func (d *deployment) peers(s *story, n *fake.Node) []string {
+	out := []string{"state"}
+	for _, x := range s.Nodes {
+		if x != n {
+			out = append(out, x.Label)
+		}
+	}
+	return out
+}
+
 // trouble draws one trouble.
 func (d *deployment) trouble(rt *rapid.T, s *story) {
 	at := seconds(rt, "at", 2, 100)
@@ -404,6 +427,39 @@
 		during(func() { s.State.Refuses[n.Label] = true }, func() { delete(s.State.Refuses, n.Label) })
 	case "state out":
 		s.At(at, func() { s.State.Outage(span) })
+	case "late writes":
+		share := between(rt, "share", 0.1, 0.6)
+		before := s.State.LateShare
+		during(func() { s.State.LateShare, s.State.LateFrom = share, 2*second }, func() { s.State.LateShare, s.State.LateFrom = before, 0 })
+	case "gap": // jobs are cancelled through those who are still served
+		alone := seconds(rt, "the leader alone for", 0.5, 4.5)
+		out := d.cancelS() + seconds(rt, "longer by", 1, 30)
+		d.over = max(d.over, at+alone+out+second)
+		s.At(at, func() {
+			if n := s.leads(); n != nil {
+				s.State.Refuses[n.Label] = true
+				s.After(alone+out, func() { delete(s.State.Refuses, n.Label) })
+			}
+			d.cancel(s, some)
+		})
+		s.At(at+alone, func() { s.State.Outage(out) })
+	case "leader cut from all but workers and users":
+		s.At(at, func() {
+			if n := s.leads(); n != nil {
+				s.cutOff(span, n.Label, d.peers(s, n)...)
+			}
+			s.After(span/4, func() { d.cancel(s, some) })
+		})
+	case "machines deaf":
+		workers(func(k *fake.Worker) {
+			for _, n := range s.Nodes {
+				s.Link(n.Label, k.Info.Name, fake.Dropped)
+				s.After(span, func() { s.Link(n.Label, k.Info.Name, fake.Link{}) })
+			}
+		})
+	case "commands held up":
+		l := fake.Link{Hold: true, Period: seconds(rt, "period", 1, 8)}
+		during(func() { s.Link(n.Label, "workers", l) }, func() { s.Link(n.Label, "workers", fake.Link{}) })
 	case "state slow":
 		during(func() { s.State.Slow = 300 * time.Millisecond }, func() { s.State.Slow = 0 })
 	case "cloud out":
@@ -474,6 +530,7 @@
 
 var troubles = slices.Sorted(slices.Values([]string{"crash", "two crash", "all crash", "roll",
 	"ends again and again", "leaders end", "copies", "no state", "no workers", "no network", "no cloud",
+	"gap", "late writes", "leader cut from all but workers and users", "machines deaf", "commands held up",
 	"refused by the state", "state out", "state slow", "cloud out", "stands still", "peers refuse", "slow links", "links", "links again", "zone cut", "zones apart",
 	"machines die", "machines hang", "machines sick", "machines slow", "taken back", "no capacity", "polls", "burst"}))
 
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -22,9 +22,11 @@
 	Refuses map[string]bool          // nodes that alone get 503
 	Forgot  map[string]bool          // nodes whose next watch is told that its revision is too old
 	// LateShare is the share of transactions that get no answer and are applied
-	// up to LateBy afterwards.
+	// from LateFrom up to LateBy afterwards.
 	LateShare float64
+	LateFrom  time.Duration
 	LateBy    time.Duration
+	Late      int           // transactions that were
 	Slow      time.Duration // is added to every answer
 	Lowered   bool          // the limits that were announced hold
 	Writes    int
@@ -154,7 +156,8 @@
 		return 400, wire.TxnAnswer{}
 	}
 	if s.LateShare > 0 && s.w.Rand.Float64() < s.LateShare {
-		s.w.After(time.Duration(s.w.Rand.Int64N(int64(s.LateBy)+1)), func() { s.apply(t) })
+		s.Late++
+		s.w.After(s.LateFrom+time.Duration(s.w.Rand.Int64N(int64(s.LateBy-s.LateFrom)+1)), func() { s.apply(t) })
 		return 0, wire.TxnAnswer{}
 	}
 	return s.apply(t)
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -18,11 +18,12 @@
 	running int                // tasks that are on machines
 	cpus    map[string]float64 // that they take, by team
 	gpus    map[string]float64
-	Starts  int   // tasks that started on a machine
-	Asked   int   // requests,
-	Served  int   // and those that got another answer than to come again later,
-	Late    int   // or none at all in time
-	Only    *Node // whom all requests go to, nil: to any that is ready
+	Starts  int           // tasks that started on a machine
+	Asked   int           // requests,
+	Served  int           // and those that got another answer than to come again later,
+	Late    int           // or none at all in time
+	Only    *Node         // whom all requests go to, nil: to any that is ready
+	Calm    time.Duration // when all troubles are over, 0: not known
 }
 
 // Job is a job as its user sees it.
@@ -34,6 +35,7 @@
 	Refused   int // the final refusal's status
 	Told      string
 	toldAt    time.Duration
+	knownAt   time.Duration // when a question about it was answered last
 	sentAt    time.Duration // when it was handed in
 	Answer    wire.JobAnswer
 	aborting  bool
@@ -114,8 +116,16 @@
 // Resubmit hands the same job in once more.
 func (u *Users) Resubmit(j *Job) { u.send(j) }
 
+// forgottenAfter is how long a job may go without an answer to any question about it once all
+// troubles are over.
+const forgottenAfter = 75 * time.Second
+
 func (u *Users) poll(j *Job) {
 	sent := u.w.Now
+	if u.Calm > 0 && u.w.Now-max(j.knownAt, u.Calm) > forgottenAfter {
+		u.w.broke("forgotten", "no question about %s has been answered since %.3f", j.Spec.ID, j.knownAt.Seconds())
+		j.knownAt = u.w.Now // said once
+	}
 	u.ask(func(id core.RequestID) core.Command { return core.Query{ID: id, Job: j.Spec.ID} }, func(r core.Reply) {
 		switch r.Status {
 		case 200:
@@ -165,6 +175,7 @@
 // An answer to a request from before the last word was heard may be older than
 // that word: both were under way at once.
 func (u *Users) hear(j *Job, a wire.JobAnswer, sent time.Duration) {
+	j.knownAt = u.w.Now
 	if sent < j.toldAt {
 		return
 	}
