A story for each meeting of troubles, seen to fail without its guard

Ruled out as isolating a guard on their own (mutations that no story caught at first, each shadowed by another): machines that the cloud deletes as dead, tokens that a new owner raises by /do, jobs from before a take-over that wait, tasks cleared only lazily, reports passed over before they are read. The stories take these away one by one.

Change: TestCancelledThroughTheNewLeader (without the freshness of the mirror: ran_twice), TestLateWritesThroughChangesOfLeader (without guards of transactions: ran_twice), TestTasksEndFarApartAcrossLeaders (clearing before durable: done tasks again), TestLeaderEndsWhileMachinesAreDeaf (unseen machines taken for empty, their quota not counted, jobs not held back: ran_twice, quota), TestOldReportsAfterNewerOnes and TestOldReportIsTheFirstThatAnOwnerHears (order of reports, tokens: ran_twice), TestCommandsHeldUp (no raised token: ran_twice), TestSlowThenRefusedThenOut (words without cancellations: ran_cancelled), TestOverAndBack (jobs not held back: ran_twice). The stand-ins learn tasks of different lengths and whom a machine reports to.

--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -127,3 +127,293 @@
 		s.within(200*second, "the work is done", s.Users.AllTold)
 	}
 }
+
+// boxes puts up so many machines, and lets them be heard.
+func (s *story) boxes(n int) {
+	for range n {
+		s.Cloud.Add("box", "b", true)
+	}
+	s.Run(s.Now + 6*second)
+}
+
+// others names all ends but one: the state service, and the other controllers.
+func (s *story) others(n *fake.Node) []string {
+	out := []string{"state"}
+	for _, x := range s.Nodes {
+		if x != n {
+			out = append(out, x.Label)
+		}
+	}
+	return out
+}
+
+// A leader is cut from the state service and the other controllers, its workers and users
+// reach it, and jobs are cancelled through the new one: the old one answers no worker any
+// more soon enough for every cancelled task to be gone in time.
+func TestCancelledThroughTheNewLeader(t *testing.T) {
+	for seed := range uint64(4) {
+		s := begin(t, 1300+seed)
+		s.boxes(12) // on which each controller has some tasks
+		var jobs []*fake.Job
+		for range 4 {
+			jobs = append(jobs, s.Users.Submit(fake.Array(12), 120))
+		}
+		s.within(60*second, "all tasks run", func() bool { return s.Users.Running() == 48 })
+		n := s.leader()
+		s.Cloud.Out = true            // or the machines that it answers would be given up and deleted
+		for _, k := range s.Workers { // nor do the others reach its machines, or a raised token would end it
+			for _, x := range s.Nodes {
+				if k.ReportsTo() == n && x != n {
+					s.cutOff(70*second, x.Label, k.Info.Name)
+				}
+			}
+		}
+		s.cutOff(70*second, n.Label, s.others(n)...)
+		s.within(30*second, "another leads", func() bool { return s.leadsBut(n) })
+		s.Users.Only = s.Nodes[(slices.Index(s.Nodes, n)+1)%3]
+		s.Users.Abort(jobs[0])
+		s.Users.Abort(jobs[1])
+		s.within(10*second, "their users are told", told(wire.JobCancelled, jobs[0], jobs[1]))
+		s.Users.Only = nil
+		s.Run(s.Now + s.cancelS() + second)
+		s.Cloud.Out = false
+		s.within(300*second, "the others are done", told(wire.JobDone, jobs[2], jobs[3]))
+	}
+}
+
+// A third of all transactions get no answer and are carried out 2 to 12 s later, through two
+// ends of the leader, while users cancel: each write is void or harmless by then.
+func TestLateWritesThroughChangesOfLeader(t *testing.T) {
+	for seed := range uint64(6) {
+		s := busy(t, 1400+seed, 5*second)
+		s.State.LateShare, s.State.LateFrom, s.State.LateBy = 0.35, 2*second, 12*second
+		var jobs []*fake.Job
+		for range 8 {
+			jobs = append(jobs, s.Users.Submit(fake.Array(5), 8))
+			s.Run(s.Now + 2*second)
+		}
+		s.Users.Abort(jobs[6])
+		s.Users.Abort(jobs[7])
+		for range 2 {
+			if n := s.leads(); n != nil {
+				n.Crash(second / 5)
+			}
+			s.Run(s.Now + 15*second)
+		}
+		s.State.LateShare = 0
+		s.Run(s.Now + 13*second)
+		s.Users.Calm = s.Now
+		s.within(300*second, "all is over", s.Users.AllTold)
+		s.Run(s.Now + 20*second)
+		s.rules()
+	}
+}
+
+// Jobs of three tasks that end far apart, with an end of the leader between any two of them:
+// done is said after the last of them and soon, and what has completed is not started again.
+func TestTasksEndFarApartAcrossLeaders(t *testing.T) {
+	for seed := range uint64(4) {
+		s := begin(t, 1500+seed)
+		var jobs []*fake.Job
+		for range 5 {
+			j := s.Users.Submit(fake.Array(3), 0)
+			j.RunsS = []float64{4, 20 + float64(seed), 45}
+			jobs = append(jobs, j)
+		}
+		s.within(60*second, "all tasks run", func() bool { return s.Users.Running() == 15 })
+		ended := 0
+		for ended < 15 { // no write says so before the leader's end
+			s.State.LateShare, s.State.LateFrom, s.State.LateBy = 1, 12*second, 12*second
+			s.within(60*second, "another task ends", func() bool { return s.Users.Done(jobs...) > ended })
+			s.Run(s.Now + 11*second)
+			s.State.LateShare = 0
+			ended = s.Users.Done(jobs...)
+			if n := s.leads(); n != nil {
+				n.Crash(second / 5)
+			}
+			s.Run(s.Now + 6*second)
+		}
+		s.within(30*second, "all are done", told(wire.JobDone, jobs...))
+		if s.Users.Again > 0 {
+			t.Fatalf("%d completed tasks were started again", s.Users.Again)
+		}
+	}
+}
+
+// The leader ends while its machines hear no answer, or are not heard either, and the cloud
+// does not delete them: what they run is not started elsewhere, their team gets no task more at
+// its limit until theirs are surely gone, and what is cancelled meanwhile is gone in time.
+func TestLeaderEndsWhileMachinesAreDeaf(t *testing.T) {
+	for _, team := range []string{"red", "blue"} { // with a limit, and without
+		for seed := range uint64(6) {
+			s := begin(t, 1600+seed)
+			s.boxes(16)
+			spec := fake.Array(24) // all that team red may use
+			spec.Team = team
+			s.Users.Submit(spec, 60)
+			gone := s.Users.Submit(fake.Array(16), 200)
+			s.within(90*second, "all tasks run", func() bool { return s.Users.Running() == 40 })
+			leader, deaf := s.leader(), 0
+			for _, k := range s.Workers {
+				if k.ReportsTo() != leader {
+					continue
+				}
+				deaf++
+				for _, n := range s.Nodes {
+					link, back := fake.Dropped, fake.Link{}
+					if seed%2 == 1 {
+						link, back = fake.Held, fake.Held
+					}
+					s.Link(n.Label, k.Info.Name, link)
+					s.Link(k.Info.Name, n.Label, back)
+					s.After(time.Duration(4+4*seed)*second, func() { s.Mend(n.Label, k.Info.Name) })
+				}
+			}
+			if deaf < 2 {
+				t.Fatalf("the leader looks after %d machines", deaf)
+			}
+			s.Cloud.Out = true
+			leader.Crash(second / 5)
+			s.Run(s.Now + second) // what comes now waits for no machine to be seen
+			more := fake.Array(6)
+			more.Team = team
+			s.Users.Submit(more, 10)
+			s.Users.Abort(gone)
+			s.Run(s.Now + s.cancelS() + 10*second)
+			s.Cloud.Out = false
+			s.within(400*second, "the work is done", s.Users.AllTold)
+		}
+	}
+}
+
+// Copies of every report arrive once more, up to two leases late, while short tasks come and
+// go: they say nothing of what is there now.
+func TestOldReportsAfterNewerOnes(t *testing.T) {
+	for seed := range uint64(4) {
+		s := begin(t, 1700+seed)
+		s.boxes(6)
+		s.Copies, s.CopyBy = 1, 32*second
+		for k := range 16 {
+			s.Users.Submit(fake.Array(8), float64(3+k%3*8))
+			s.Run(s.Now + 3*second)
+		}
+		s.Copies = 0
+		s.within(200*second, "the work is done", s.Users.AllTold)
+	}
+}
+
+// All controllers end while some machines can't be reached, and the first that the next ones
+// hear of these is an old report from before they had tasks: what they run is not started
+// elsewhere until it is surely gone.
+func TestOldReportIsTheFirstThatAnOwnerHears(t *testing.T) {
+	for seed := range uint64(6) {
+		s := begin(t, 1750+seed)
+		s.boxes(8)
+		s.Copies, s.CopyBy = 1, 40*second
+		s.Run(s.Now + 10*second)
+		s.Copies = 0
+		j := s.Users.Submit(fake.Array(24), 60)
+		s.within(20*second, "all tasks run", func() bool { return j.Running() == 24 })
+		for i := range 24 {
+			for _, n := range s.Nodes {
+				s.Cut(n.Label, j.On(i), false)
+			}
+		}
+		for _, n := range s.Nodes {
+			n.Crash(second / 5)
+		}
+		s.boxes(8)
+		s.within(200*second, "the work is done", s.Users.AllTold)
+	}
+}
+
+// Every command and every answer to the machines is held up for some seconds, again and
+// again, while jobs are cancelled and others take their room.
+func TestCommandsHeldUp(t *testing.T) {
+	for seed := range uint64(6) {
+		s := busy(t, 1800+seed, 8*second)
+		for _, n := range s.Nodes {
+			s.Link(n.Label, "workers", fake.Link{Hold: true, Period: time.Duration(2+seed) * second})
+		}
+		var jobs []*fake.Job
+		for k := range 8 {
+			jobs = append(jobs, s.Users.Submit(fake.Array(5), 30))
+			s.Run(s.Now + 3*second)
+			if k%2 == 1 {
+				s.Users.Abort(jobs[k-1])
+			}
+		}
+		s.leader().Crash(second)
+		s.Run(s.Now + s.cancelS())
+		for _, n := range s.Nodes {
+			s.Link(n.Label, "workers", fake.Link{})
+		}
+		s.within(300*second, "the work is done", s.Users.AllTold)
+	}
+}
+
+// The service is slow, refuses the leader and then everybody for longer than cancel_s, while
+// users cancel and ask: they are told in the end, and what they were told holds.
+func TestSlowThenRefusedThenOut(t *testing.T) {
+	for seed := range uint64(4) {
+		s := busy(t, 1900+seed, 4*second)
+		var jobs []*fake.Job
+		for range 4 {
+			jobs = append(jobs, s.Users.Submit(fake.Array(5), 90))
+		}
+		s.Run(s.Now + 15*second)
+		n := s.leader()
+		s.State.Slow = 400 * time.Millisecond
+		s.Users.Abort(jobs[0])
+		s.Run(s.Now + second)
+		s.State.Refuses[n.Label] = true
+		s.Users.Abort(jobs[1])
+		s.Run(s.Now + time.Duration(1+seed)*second)
+		s.Users.Abort(jobs[2])
+		s.Run(s.Now + second/2)
+		out := s.cancelS() + 20*second
+		s.State.Outage(out)
+		s.Run(s.Now + out)
+		delete(s.State.Refuses, n.Label)
+		s.State.Slow = 0
+		s.Users.Calm = s.Now
+		s.within(60*second, "the users are told", told(wire.JobCancelled, jobs[:3]...))
+		s.within(300*second, "the work is done", s.Users.AllTold)
+	}
+}
+
+// Controllers hand over and back, all end, and one returns, within a second or some, with one
+// of the production version among them or none.
+func TestOverAndBack(t *testing.T) {
+	for seed := range uint64(8) {
+		s := busy(t, 2000+seed, 10*second)
+		back := []time.Duration{50 * time.Millisecond, second / 5, second, 4 * second}[seed%4]
+		s.Nodes[seed%3].Old = seed >= 4
+		for range 3 {
+			if n := s.leads(); n != nil {
+				n.Crash(back)
+			}
+			s.Run(s.Now + back/2)
+		}
+		for _, n := range s.Nodes {
+			n.Crash(20 * second) // the later start is the one that counts
+		}
+		s.Nodes[(seed+1)%3].Start()
+		s.Users.Submit(fake.Array(6), 10)
+		s.Run(s.Now + 8*second)
+		for _, n := range s.Nodes {
+			if !n.Alive() {
+				n.Start()
+			}
+		}
+		s.Run(s.Now + second)
+		s.leaderSoon().Crash(back)
+		s.within(300*second, "the work is done", s.Users.AllTold)
+	}
+}
+
+// leaderSoon is the leader, once there is one.
+func (s *story) leaderSoon() *fake.Node {
+	s.within(30*second, "somebody leads", func() bool { return s.leads() != nil })
+	return s.leader()
+}
--- a/internal/core/outage.go
+++ b/internal/core/outage.go
@@ -19,9 +19,9 @@
 	refused bool // the lease was not renewed last time
 	leader  vigil.Leader
 	member  vigil.Member
-	epoch   uint64          // that these speak of
+	epoch   uint64                   // that these speak of
 	void    map[string]time.Duration // jobs that somebody was told are cancelled, and when we last learnt of it
-	holding bool            // as was last said
+	holding bool                     // as was last said
 }
 
 func newOutage(c *Core) *outage { return &outage{c: c, void: map[string]time.Duration{}} }
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -19,6 +19,7 @@
 	cpus    map[string]float64 // that they take, by team
 	gpus    map[string]float64
 	Starts  int           // tasks that started on a machine
+	Again   int           // and those of them that had been completed before
 	Asked   int           // requests,
 	Served  int           // and those that got another answer than to come again later,
 	Late    int           // or none at all in time
@@ -30,7 +31,8 @@
 type Job struct {
 	Spec      wire.Job
 	RunS      float64
-	Mistaken  bool // fails wherever it runs
+	RunsS     []float64 // by task, if they differ
+	Mistaken  bool      // fails wherever it runs
 	Accepted  bool
 	Refused   int // the final refusal's status
 	Told      string
@@ -243,6 +245,9 @@
 		u.count(j, 1)
 	}
 	u.Starts++
+	if j.done[t.index] {
+		u.Again++
+	}
 	j.on[t.Name] = k.Info.Name
 	u.checkPlace(k, t)
 	u.checkQuota(j.Spec.Team)
@@ -357,6 +362,14 @@
 // On is the machine that a task is on, or empty.
 func (j *Job) On(i int) string { return j.on[wire.TaskName(j.Spec.ID, i)] }
 
+// Done is how many tasks of jobs have completed.
+func (u *Users) Done(jobs ...*Job) (n int) {
+	for _, j := range jobs {
+		n += len(j.done)
+	}
+	return n
+}
+
 // Running is how many tasks are on machines.
 func (j *Job) Running() int { return len(j.on) }
 
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -275,7 +275,11 @@
 		u.arrived(k, t)
 		k.changed()
 		t.began = k.w.Now
-		run := config.Seconds(t.job.RunS*max(k.Slow, 1)) - t.job.saved[t.index]
+		runS := t.job.RunS
+		if len(t.job.RunsS) > 0 {
+			runS = t.job.RunsS[t.index]
+		}
+		run := config.Seconds(runS*max(k.Slow, 1)) - t.job.saved[t.index]
 		if t.job.done[t.index] {
 			run = 0
 		}
@@ -365,6 +369,9 @@
 	k.execute([]wire.Command{{Op: wire.OpStart, Task: task, Attempt: attempt}})
 }
 
+// ReportsTo is the controller that it sends its reports to.
+func (k *Worker) ReportsTo() *Node { return k.w.Nodes[k.node] }
+
 // Recall has the cloud take the machine back after a notice, or with none.
 func (k *Worker) Recall(notice time.Duration) {
 	if notice > 0 {
