The first task of an array that has waited for half of four minutes goes before its rank

Ruled out: every job's first task before all else from half of the time on (four stories of floors failed: where a class is due, jobs begun took the room in which jobs would have been completed).

Change: policy begin_s (240, 0: no promise). From half of it the first task of an array goes behind guarantees and classes that are due, from three quarters on before all of them unless its own class is due; room is kept for it as for a turn, and it is not stopped for others. The story of floors for large tasks compares with and without a floor, and now switches this rule off in both, since it starts one of its large tasks without a floor, too: what it asserts of the floor is as before.

--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -27,6 +27,7 @@
 	BootPatience        float64 // a boot is given up after this many boot times
 	FloorShare          float64 // the share of the jobs of each class of a team that is served before others go on; 0: none
 	FloorLeases         float64 // a job that waits for longer than this many worker leases is overdue
+	BeginS              float64 // seconds within which a job's first task is to start; 0: no promise
 }
 
 // DefaultPolicy is what holds without a script.
@@ -46,6 +47,7 @@
 		BootPatience:        3,
 		FloorShare:          0.55,
 		FloorLeases:         5,
+		BeginS:              240,
 	}
 }
 
@@ -120,6 +122,7 @@
 		{"boot_patience", &p.BootPatience, 1.5, 100},
 		{"floor_share", &p.FloorShare, 0, 0.95},
 		{"floor_leases", &p.FloorLeases, 1, 1e6},
+		{"begin_s", &p.BeginS, 0, 1e9},
 	} {
 		known[f.key] = true
 		number(f.key, f.into, f.lo, f.hi)
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -180,6 +180,10 @@
 			q.reason = o.failedWhere(q)
 			return
 		}
+		if q.begins {
+			q.reason = "its first task has started, the others wait for their turn"
+			return
+		}
 	}
 	switch {
 	case held > 0:
--- a/internal/core/floors_test.go
+++ b/internal/core/floors_test.go
@@ -282,6 +282,7 @@
 			}
 			s := crowded(t, 507, day, func(p *config.Policy) {
 				p.FloorShare = share
+				p.BeginS = 0 // it starts one of these large tasks, floor or none
 				p.IdleBoots = 1000 // machines with room are there, as where other teams need them
 			}, set, streams...)
 			s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = c.boxes, 0
@@ -337,3 +338,36 @@
 		}
 	}
 }
+
+// The largest jobs of a class begin in time although smaller ones come for ever and take all
+// that gets free: one task of a job that has waited for long goes first, and it is kept.
+func TestLargestJobsBegin(t *testing.T) {
+	small := photos()
+	small.every, small.tasks = 4*second, 10 // more than the limit lets run
+	s := crowded(t, 2100, 300*second, func(p *config.Policy) { p.FloorLeases, p.BeginS = 5, 100 }, fake.Settings(3), small, alerts())
+	var large []*fake.Job
+	began := map[*fake.Job]time.Duration{}
+	for k := range 6 {
+		s.At(time.Duration(30+10*k)*second, func() {
+			x := small
+			x.tasks, x.cpus, x.run = 60, float64(1+k%2*3), 30
+			large = append(large, s.hand(x))
+		})
+	}
+	for at := 30 * second; at < 250*second; at += second {
+		s.At(at, func() {
+			for _, j := range large {
+				if _, ok := began[j]; !ok && j.Running() > 0 {
+					began[j] = s.Now
+				}
+			}
+		})
+	}
+	s.Run(250 * second)
+	s.rules()
+	for k, j := range large {
+		if came := time.Duration(30+10*k) * second; began[j] == 0 || began[j]-came > 100*second {
+			t.Errorf("job %d of %g CPUs came at %v and began at %v", k, j.Spec.CPUs, came, began[j])
+		}
+	}
+}
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -33,7 +33,8 @@
 	size     float64       // then the size
 	in       bool          // within its team's guarantee
 	turn     floor.Turn    // its class's turn, whatever its urgency
-	held     bool          // its class is short: its tasks are not stopped for others
+	held     bool          // its class is short, or it has only just begun: its tasks are not stopped for others
+	begins   bool          // it is to begin by now: its first task goes before its rank
 	urg      int           // its urgency, or that of the most urgent job that needs it
 	latest   float64       // time of day by which it is to be done for those to be in time, +Inf: no matter
 	keptAt   time.Duration // since when its limit or machines are kept for it, 0: they are not
--- a/internal/core/turns.go
+++ b/internal/core/turns.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -53,6 +54,10 @@
 			}
 		}
 	}
+	due := map[floor.Account]bool{}
+	for i := range o.floors {
+		due[o.floors[i].Account] = o.floors[i].Turn != floor.None
+	}
 	for i, q := range ranked {
 		j := &jobs[i]
 		q.held = j.Held
@@ -62,6 +67,31 @@
 		case j.Turn == floor.Ahead && q.band > bandAhead:
 			q.band, q.size = bandAhead, float64(j.Rank)
 		}
+		o.begin(q, j.Age, due[j.Account])
+	}
+}
+
+// begin lets the first task of an array go first once its job has waited for half of the time
+// in which it is to begin: behind what a guarantee covers and behind classes that are due, and
+// from three quarters on before all of them, if its own class is not due. It is one task; the
+// rest has its ordinary rank, and the first is not stopped for others.
+//
+// Guards against the largest jobs of a class that never begin, since smaller ones of the same
+// class come all the time: counted by jobs the class is served well. Where it is due, jobs that
+// are completed count for more than jobs that are begun.
+func (o *orchestrator) begin(q *queued, age float64, due bool) {
+	q.begins = false
+	s, promise := &q.j.rec.Spec, o.c.policy.BeginS
+	if promise <= 0 || age < promise/2 || s.Kind != wire.KindArray || q.j.doneN+len(q.finished) > 0 || o.suspect(q) {
+		return
+	}
+	q.held = q.held || len(q.flights) == 1
+	band, size := bandBehind, math.MaxFloat64/age
+	if age >= promise*3/4 && !due {
+		band, size = bandAhead, -age
+	}
+	if len(q.flights) == 0 && q.band > band {
+		q.begins, q.band, q.size = true, band, size
 	}
 }
 
@@ -150,12 +180,12 @@
 }
 
 // keeps reports whether anything is to be kept for n tasks of a job in this round: if it
-// is their turn, and if they need more at once than any other task that waits, since
+// is their turn, or that of its first, and if they need more at once than any other task that waits, since
 // whatever gets free is offered to them first. They have it kept for as long as a patience
 // lasts, and after as long a pause again, so that a turn that can't be taken for a reason
 // nobody foresaw holds up the others for half of the time at most.
 func (o *orchestrator) keeps(q *queued, n int, p *plan) bool {
-	if q.turn == floor.None || float64(n)*q.j.rec.Spec.CPUs <= p.least+slack {
+	if q.turn == floor.None && !q.begins || float64(n)*q.j.rec.Spec.CPUs <= p.least+slack {
 		return false
 	}
 	patience := config.Seconds(o.c.floors.Patience)
