A machine that hears nothing is taken for empty a lease after the last answer from before

Cause: each report is answered, and each answer counted as a renewal of the machine's lease, also where the machine hears none of them: after a change of leader all jobs from before waited for deaf machines for as long as those were deaf.

Ruled out: falling silent towards such a machine (its tasks would be lost where it hears again within its lease); concluding from a new session (a report says when it arrived, not when its session began).

Change: a worker keeps one report in flight, so a report that shows no token of this epoch was sent after every earlier answer of this epoch had failed. Of such a machine only answers from before the epoch count, and it lapses gone after those. A machine that has once shown a token of the epoch is treated as before.

Also gofmt of a test.

--- a/internal/core/fence.go
+++ b/internal/core/fence.go
@@ -24,21 +24,7 @@
 		}
 	}
 	if !r.lapsed && c.now.Steady-r.answered > c.times.gone {
-		// Nobody entitled has answered this worker for longer than its lease,
-		// so it has dropped its tasks, and a start still under way carries an
-		// earlier session.
-		r.lapsed, r.trusted, r.whole = true, false, true
-		lost := 0
-		for _, t := range r.tasks {
-			if t.live() {
-				lost++
-			}
-		}
-		if lost > 0 {
-			c.info("machine is silent, its tasks are lost", "machine", r.name, "tasks", lost)
-		}
-		r.tasks = nil
-		p.mark(r)
+		p.lapse(r)
 	}
 	// One that has let two questions pass after a change of the map most likely is
 	// dead, and holds up all that may be running on it.
@@ -62,6 +48,28 @@
 	}
 }
 
+// lapse takes a machine for empty. Nobody entitled has answered its worker for longer than its
+// lease, so it has dropped its tasks, and a start still under way carries an earlier session.
+// An answer with our token that its next report does not show was not accepted, and renewed
+// nothing: of a machine that has shown none in this epoch only the answers from before count.
+//
+// Guards against machines that are heard and hear nothing: each report was answered anew, so
+// that a take-over waited for them for as long as they were deaf.
+func (p *part) lapse(r *rig) {
+	r.lapsed, r.trusted, r.whole = true, false, true
+	lost := 0
+	for _, t := range r.tasks {
+		if t.live() {
+			lost++
+		}
+	}
+	if lost > 0 {
+		p.c.info("machine is silent, its tasks are lost", "machine", r.name, "tasks", lost)
+	}
+	r.tasks = nil
+	p.mark(r)
+}
+
 // mayAsk reports whether one more machine may be asked by /do without commands.
 func (p *part) mayAsk() bool { return len(p.fences) < max(p.rigs.len()/askShare, askLeast) }
 
--- a/internal/core/floors_test.go
+++ b/internal/core/floors_test.go
@@ -282,7 +282,7 @@
 			}
 			s := crowded(t, 507, day, func(p *config.Policy) {
 				p.FloorShare = share
-				p.BeginS = 0 // it starts one of these large tasks, floor or none
+				p.BeginS = 0       // it starts one of these large tasks, floor or none
 				p.IdleBoots = 1000 // machines with room are there, as where other teams need them
 			}, set, streams...)
 			s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = c.boxes, 0
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -417,3 +417,32 @@
 	s.within(30*second, "somebody leads", func() bool { return s.leads() != nil })
 	return s.leader()
 }
+
+// Machines whose reports arrive and that hear nothing hold up a take-over until their leases
+// must have ended, not for as long as they are deaf.
+func TestDeafMachinesDoNotHoldUpATakeOver(t *testing.T) {
+	for seed := range uint64(6) {
+		s := begin(t, 2200+seed)
+		s.boxes(16)
+		j := s.Users.Submit(fake.Array(64), 90)
+		s.within(90*second, "all tasks run", func() bool { return j.Running() == 64 })
+		s.Cloud.Out = true
+		for _, k := range s.SomeWorkers(6) {
+			for _, n := range s.Nodes {
+				s.Link(n.Label, k.Info.Name, fake.Dropped)
+			}
+		}
+		for _, n := range s.Nodes {
+			n.Crash(second / 5)
+		}
+		s.Logs = nil
+		s.within(45*second, "no machine is waited for", func() bool { return s.said("every machine has been seen") })
+		for _, k := range s.Workers {
+			for _, n := range s.Nodes {
+				s.Mend(n.Label, k.Info.Name)
+			}
+		}
+		s.Cloud.Out = false
+		s.within(300*second, "the job is done", s.Users.AllTold)
+	}
+}
--- a/internal/core/placed.go
+++ b/internal/core/placed.go
@@ -53,6 +53,8 @@
 	trusted      bool   // the newest message carried one of them
 	kept         bool   // it was trusted in the last epoch, and ours then too
 	answered     time.Duration
+	foreign      time.Duration // until when it may have been answered before this epoch was ours
+	spoke        bool          // it has shown a token of this epoch: it has heard us
 	heard        time.Duration
 	unanswered   int  // calls in a row that it let pass
 	silent       bool // not heard for half a lease, or mute after a change of the map
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -33,15 +33,18 @@
 		return
 	}
 	newest := rep.Newer(r.session, r.seq)
-	r.heard, r.answered = c.now.Steady, max(r.answered, c.now.Steady)
-	r.unanswered = 0
+	r.heard, r.unanswered = c.now.Steady, 0
 	if r.silent {
 		r.silent = false
 		p.mark(r)
 	}
 	if newest {
 		p.read(r, rep, 0, true)
+		if !r.spoke && !r.lapsed && c.now.Steady-r.foreign > c.times.gone {
+			p.lapse(r)
+		}
 	}
+	r.answered = max(r.answered, c.now.Steady)
 	var ans wire.ReportAnswer
 	switch {
 	case newest && r.trusted:
@@ -70,7 +73,9 @@
 		// whole lease, whether a report of it is answered or not: a machine that
 		// was heard by /do alone was once taken for empty by the lease of its last
 		// session, just after tasks had been started on it.
-		r.answered = max(r.answered, p.c.now.Steady)
+		if r.spoke || rep.Token >= r.base {
+			r.answered = max(r.answered, p.c.now.Steady)
+		}
 		p.keep(r, func(t *placed) bool { return t.phase <= phaseQueued })
 		p.mark(r)
 	}
@@ -84,6 +89,7 @@
 	}
 	was := r.trusted
 	r.trusted = rep.Token >= r.base && rep.Token <= r.token
+	r.spoke = r.spoke || r.trusted
 	if r.trusted != was {
 		r.whole = true
 		p.mark(r)
