--- a/internal/regress/regress.go
+++ b/internal/regress/regress.go
@@ -15,8 +15,8 @@
 // Fall is how far a site's figure may fall: a smaller change is noise.
 const Fall = 0.03
 
-// Half is the share of the jobs of each class, and of each team, that must have been
-// served when a day ends; with less the day has failed, whatever it is worth.
+// Half is the share of the jobs of each class, of each team, and of each class's largest
+// jobs, that must have been served when a day ends; with less the day has failed, whatever it is worth.
 const Half = 0.5
 
 // Entry is a run of the bench on one site, as the journal tells it.
@@ -43,9 +43,10 @@
 }
 
 // Served is how much of one class's or one team's work was served, a list of three in
-// the journal.
+// the journal. Of the largest jobs of a class those are served that began within the users'
+// four minutes, as far as the journal tells; it does not say when they did.
 type Served struct {
-	Who   string  // a class's name, or "team " and a team's
+	Who   string  // a class's name, "team " and a team's, or "largest " and a class's
 	Jobs  float64 // its share of the day's jobs, 0 to 1
 	Share float64 // the share of those that was served, 0 to 1
 }
--- a/internal/regress/regress_test.go
+++ b/internal/regress/regress_test.go
@@ -45,6 +45,7 @@
 		{"0.9", day("calm", "0.8", "", `"too slow"`), "failed: too slow"},
 		{"0.9", day("calm", "0", "", "null"), "is worth nothing"},
 		{"0.9", served(`["reports",0.2,0.49],["team tins",0.4,0.5],["never",0,0]`), "failed: only 49% of reports served"},
+		{"0.9", served(`["reports",0.2,0.9],["largest reports",0.1,0.4]`), "failed: only 40% of largest reports served"},
 		{"0.9", "", "no day was played"},
 	} {
 		fresh := t.TempDir()
