Where a class is due, the largest eighth of its waiting jobs may begin all the same

Ruled out: the largest quarter, or an eighth whatever the sizes (the story of floors beside a zone that is cut off failed: photos that are all alike took the room of reports).

Change: in a class that is due, first tasks of the largest eighth by tasks, half of the largest quarter, go ahead from three quarters of begin_s on, if they are larger than the median.

--- a/internal/core/turns.go
+++ b/internal/core/turns.go
@@ -54,7 +54,7 @@
 			}
 		}
 	}
-	due := map[floor.Account]bool{}
+	due, large := map[floor.Account]bool{}, o.largest(ranked)
 	for i := range o.floors {
 		due[o.floors[i].Account] = o.floors[i].Turn != floor.None
 	}
@@ -67,19 +67,38 @@
 		case j.Turn == floor.Ahead && q.band > bandAhead:
 			q.band, q.size = bandAhead, float64(j.Rank)
 		}
-		o.begin(q, j.Age, due[j.Account])
+		o.begin(q, j.Age, due[j.Account] && !large[q])
 	}
 }
 
+// largest tells which jobs are among the largest eighth, by tasks, of those of their class of a
+// team that are not over: half of the largest quarter. A class whose jobs are alike has none.
+func (o *orchestrator) largest(jobs []*queued) map[*queued]bool {
+	open := map[floor.Account][]*queued{}
+	for _, q := range jobs {
+		a := floor.Account{Team: q.j.rec.Spec.Team, Class: q.j.rec.Spec.Class}
+		open[a] = append(open[a], q)
+	}
+	out := map[*queued]bool{}
+	for _, list := range open {
+		slices.SortStableFunc(list, func(x, y *queued) int { return cmp.Compare(y.j.rec.Spec.Tasks, x.j.rec.Spec.Tasks) })
+		for _, q := range list[:len(list)/8] {
+			out[q] = q.j.rec.Spec.Tasks > list[len(list)/2].j.rec.Spec.Tasks
+		}
+	}
+	return out
+}
+
 // begin lets the first task of an array go first once its job has waited for half of the time
 // in which it is to begin: behind what a guarantee covers and behind classes that are due, and
-// from three quarters on before all of them, if its own class is not due. It is one task; the
-// rest has its ordinary rank, and the first is not stopped for others.
+// from three quarters on before all of them; not if its own class is due, unless it is one of
+// the largest. It is one task; the rest has its ordinary rank, and the first is not stopped for
+// others.
 //
 // Guards against the largest jobs of a class that never begin, since smaller ones of the same
 // class come all the time: counted by jobs the class is served well. Where it is due, jobs that
 // are completed count for more than jobs that are begun.
-func (o *orchestrator) begin(q *queued, age float64, due bool) {
+func (o *orchestrator) begin(q *queued, age float64, waits bool) {
 	q.begins = false
 	s, promise := &q.j.rec.Spec, o.c.policy.BeginS
 	if promise <= 0 || age < promise/2 || s.Kind != wire.KindArray || q.j.doneN+len(q.finished) > 0 || o.suspect(q) {
@@ -87,7 +106,7 @@
 	}
 	q.held = q.held || len(q.flights) == 1
 	band, size := bandBehind, math.MaxFloat64/age
-	if age >= promise*3/4 && !due {
+	if age >= promise*3/4 && !waits {
 		band, size = bandAhead, -age
 	}
 	if len(q.flights) == 0 && q.band > band {
