--- a/internal/core/outage.go
+++ b/internal/core/outage.go
@@ -20,11 +20,11 @@
 	leader  vigil.Leader
 	member  vigil.Member
 	epoch   uint64                   // that these speak of
-	void    map[string]time.Duration // jobs that somebody was told are cancelled, and when we last learnt of it
+	learnt  map[string]time.Duration // jobs that somebody was told are cancelled, and when we last learnt of it
 	holding bool                     // as was last said
 }
 
-func newOutage(c *Core) *outage { return &outage{c: c, void: map[string]time.Duration{}} }
+func newOutage(c *Core) *outage { return &outage{c: c, learnt: map[string]time.Duration{}} }
 
 // out reports whether the state service does not serve this node.
 func (u *outage) out() bool { return u.refused || u.c.ledger.lost }
@@ -58,7 +58,7 @@
 		u.epoch, u.leader, u.member = e, vigil.Leader{}, vigil.Member{}
 	}
 	// Guards against forgetting them while this node is entitled by a mirror from before.
-	maps.DeleteFunc(u.void, func(_ string, learnt time.Duration) bool { return learnt < c.ledger.freshAt })
+	maps.DeleteFunc(u.learnt, func(_ string, learnt time.Duration) bool { return learnt < c.ledger.freshAt })
 	if now := u.holds() && !c.members.entitled(); now != u.holding {
 		u.holding = now
 		if now {
@@ -94,7 +94,7 @@
 	}
 	w := u.word(a)
 	u.member.Answer(c.now.Steady, c.times.fresh, *a)
-	u.cancel(a.Void)
+	u.cancel(a.Cancelled)
 	c.emit(PeerSend{Session: c.part.link, Message: wire.PeerMessage{Epoch: epoch, Word: &w}})
 }
 
@@ -109,18 +109,18 @@
 // heard takes a controller's word.
 func (u *outage) heard(label string, w vigil.Word) {
 	u.leader.Hear(label, w, u.epoch, u.c.times.fresh, u.c.labels)
-	u.cancel(u.leader.Void())
+	u.cancel(u.leader.Cancelled())
 }
 
 // cancelled reports whether a job is cancelled by another controller's word.
-func (u *outage) cancelled(ref string) bool { _, ok := u.void[ref]; return ok }
+func (u *outage) cancelled(ref string) bool { _, ok := u.learnt[ref]; return ok }
 
 // cancel has the tasks of jobs stopped that are cancelled for sure.
 func (u *outage) cancel(jobs []string) {
 	for _, ref := range jobs {
-		if _, known := u.void[ref]; !known {
+		if _, known := u.learnt[ref]; !known {
 			u.c.debugf("cancelled, as another controller has told", "job", ref)
 		}
-		u.void[ref] = u.c.now.Steady
+		u.learnt[ref] = u.c.now.Steady
 	}
 }
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -188,7 +188,7 @@
 			r.answered = max(r.answered, c.now.Steady+c.times.fresh)
 			r.lapsed = false
 		}
-		r.foreign, r.spoke = r.answered, false
+		r.answeredBefore, r.fenced = r.answered, false
 		r.whole = true
 		p.mark(r)
 	}
@@ -210,14 +210,14 @@
 	r := p.newRig(name)
 	r.addr, r.typ, r.zone, r.spot = rec.Addr, rec.Type, rec.Zone, rec.Spot
 	r.answered += p.c.times.fresh
-	r.foreign = r.answered
+	r.answeredBefore = r.answered
 	r.registered = true
 }
 
 func (p *part) newRig(name string) *rig {
 	r := &rig{
 		name: name, whole: true, token: p.epoch << tokenBits, base: p.epoch << tokenBits, answered: p.c.now.Steady, heard: p.c.now.Steady,
-		foreign: p.c.now.Steady + p.c.times.fresh, avoid: map[string]time.Duration{},
+		answeredBefore: p.c.now.Steady + p.c.times.fresh, avoid: map[string]time.Duration{},
 	}
 	p.rigs.set(name, r)
 	p.mark(r)
--- a/internal/core/placed.go
+++ b/internal/core/placed.go
@@ -47,30 +47,30 @@
 	spot                  bool
 	mt                    *wire.MachineType
 
-	session, seq uint64 // newest message seen
-	token        uint64 // ours for this machine
-	base         uint64 // the first that is: what it lists with this or a later one is believed
-	trusted      bool   // the newest message carried one of them
-	kept         bool   // it was trusted in the last epoch, and ours then too
-	answered     time.Duration
-	foreign      time.Duration // until when it may have been answered before this epoch was ours
-	spoke        bool          // it has shown a token of this epoch: it has heard us
-	heard        time.Duration
-	unanswered   int  // calls in a row that it let pass
-	silent       bool // not heard for half a lease, or mute after a change of the map
-	lapsed       bool // silent for so long that its worker has dropped everything
-	notice       bool
-	draining     bool
-	closing      bool   // gets no new tasks for now
-	asking       uint64 // the /do under way
-	askAgain     time.Duration
-	waits        bool // to be asked
-	urgent       bool // send commands without waiting for the next report
-	registered   bool
-	tasks        []*placed
-	images       images
-	avoid        map[string]time.Duration // jobs whose tasks failed here
-	stamp        uint64
+	session, seq   uint64 // newest message seen
+	token          uint64 // ours for this machine
+	base           uint64 // the first that is: what it lists with this or a later one is believed
+	trusted        bool   // the newest message carried one of them
+	kept           bool   // it was trusted in the last epoch, and ours then too
+	answered       time.Duration
+	answeredBefore time.Duration // until when it may have been answered before this epoch was ours
+	fenced         bool          // it has shown a token of this epoch
+	heard          time.Duration
+	unanswered     int  // calls in a row that it let pass
+	silent         bool // not heard for half a lease, or mute after a change of the map
+	lapsed         bool // silent for so long that its worker has dropped everything
+	notice         bool
+	draining       bool
+	closing        bool   // gets no new tasks for now
+	asking         uint64 // the /do under way
+	askAgain       time.Duration
+	waits          bool // to be asked
+	urgent         bool // send commands without waiting for the next report
+	registered     bool
+	tasks          []*placed
+	images         images
+	avoid          map[string]time.Duration // jobs whose tasks failed here
+	stamp          uint64
 
 	whole   bool     // the leader needs the whole picture of it
 	repaint bool     // its images have changed
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -40,7 +40,7 @@
 	}
 	if newest {
 		p.read(r, rep, 0, true)
-		if !r.spoke && !r.lapsed && c.now.Steady-r.foreign > c.times.gone {
+		if !r.fenced && !r.lapsed && c.now.Steady-r.answeredBefore > c.times.gone {
 			p.lapse(r)
 		}
 	}
@@ -73,7 +73,7 @@
 		// whole lease, whether a report of it is answered or not: a machine that
 		// was heard by /do alone was once taken for empty by the lease of its last
 		// session, just after tasks had been started on it.
-		if r.spoke || rep.Token >= r.base {
+		if r.fenced || rep.Token >= r.base {
 			r.answered = max(r.answered, p.c.now.Steady)
 		}
 		p.keep(r, func(t *placed) bool { return t.phase <= phaseQueued })
@@ -89,7 +89,7 @@
 	}
 	was := r.trusted
 	r.trusted = rep.Token >= r.base && rep.Token <= r.token
-	r.spoke = r.spoke || r.trusted
+	r.fenced = r.fenced || r.trusted
 	if r.trusted != was {
 		r.whole = true
 		p.mark(r)
--- a/internal/vigil/vigil.go
+++ b/internal/vigil/vigil.go
@@ -45,24 +45,24 @@
 
 // Ask is the leader's question of a round, with the outcome of the earlier ones.
 type Ask struct {
-	Round  uint64   `json:"round"`
-	Since  uint64   `json:"since"`            // list the cancellations told since this revision
-	Agreed uint64   `json:"agreed,omitempty"` // the last round in which all agreed, 0: none
-	Void   []string `json:"void,omitempty"`   // jobs of which somebody was told that they are cancelled
+	Round     uint64   `json:"round"`
+	Since     uint64   `json:"since"`            // list the cancellations told since this revision
+	Agreed    uint64   `json:"agreed,omitempty"` // the last round in which all agreed, 0: none
+	Cancelled []string `json:"void,omitempty"`   // jobs of which somebody was told that they are
 	// Mirrored says that Agreed rests on words that were.
 	Mirrored bool `json:"mirrored,omitempty"`
 }
 
 // Leader asks the rounds. The zero value is ready.
 type Leader struct {
-	round  uint64
-	asked  time.Duration
-	words  map[string]Word
-	done   bool // all words of the round are in
-	agreed uint64
-	since  uint64
-	void   []string
-	till   time.Duration
+	round     uint64
+	asked     time.Duration
+	words     map[string]Word
+	done      bool // all words of the round are in
+	agreed    uint64
+	since     uint64
+	cancelled []string
+	till      time.Duration
 }
 
 // Next is the question to be asked now, if one is due: every has passed since the last,
@@ -79,7 +79,7 @@
 		return Ask{}, false
 	}
 	l.asked, l.done, l.words = now, false, map[string]Word{}
-	return Ask{Round: l.round, Since: l.since, Agreed: l.agreed, Void: l.void, Mirrored: true}, true
+	return Ask{Round: l.round, Since: l.since, Agreed: l.agreed, Cancelled: l.cancelled, Mirrored: true}, true
 }
 
 // Hear takes a controller's word. epoch is the leader's own; labels are all controllers,
@@ -97,25 +97,25 @@
 	l.done = true
 	least, most := ^uint64(0), uint64(0)
 	agreed := true
-	var void []string
+	var cancelled []string
 	for _, x := range labels {
 		w := l.words[x]
 		agreed = agreed && w.Out && w.Epoch == epoch && w.Revision > 0 && w.Mirrored
 		least = min(least, w.Revision)
 		most = max(most, w.Loaded, w.Since)
-		void = append(void, w.Cancelled...)
+		cancelled = append(cancelled, w.Cancelled...)
 	}
 	l.since = least
 	if !agreed || least < most {
 		return // somebody may have told of a cancellation that another does not know
 	}
-	slices.Sort(void)
-	l.agreed, l.void = l.round, slices.Compact(void)
+	slices.Sort(cancelled)
+	l.agreed, l.cancelled = l.round, slices.Compact(cancelled)
 	l.till = l.asked + span
 }
 
-// Void lists the jobs that the leader's own tasks must be stopped of, too.
-func (l *Leader) Void() []string { return l.void }
+// Cancelled lists the jobs that the leader's own tasks must be stopped of, too.
+func (l *Leader) Cancelled() []string { return l.cancelled }
 
 // Till is until when the leader itself may go on.
 func (l *Leader) Till() time.Duration { return l.till }
--- a/internal/vigil/vigil_test.go
+++ b/internal/vigil/vigil_test.go
@@ -102,8 +102,8 @@
 		w.Since, w.Cancelled = 40, []string{"job-2", "job-1", "job-2"}
 		return w
 	})
-	if !slices.Equal(l.Void(), []string{"job-1", "job-2"}) {
-		t.Fatal(l.Void())
+	if !slices.Equal(l.Cancelled(), []string{"job-1", "job-2"}) {
+		t.Fatal(l.Cancelled())
 	}
 }
 
@@ -185,7 +185,7 @@
 type peer struct {
 	log    Log
 	mirror uint64          // all up to here
-	void   map[string]bool // that it has learnt of others
+	learnt map[string]bool // that it has learnt of others
 	told   map[string]time.Duration
 }
 
@@ -198,7 +198,7 @@
 		chance := func(what string, n int) bool { return rapid.IntRange(0, n-1).Draw(rt, what) == 0 }
 		peers, members := map[string]*peer{}, map[string]*Member{}
 		for _, x := range labels {
-			peers[x] = &peer{void: map[string]bool{}, told: map[string]time.Duration{}}
+			peers[x] = &peer{learnt: map[string]bool{}, told: map[string]time.Duration{}}
 			members[x] = &Member{}
 		}
 		type event struct {
@@ -231,9 +231,9 @@
 			w.Since++ // an empty mirror is revision 1 here
 			return w
 		}
-		learn := func(x string, void []string) {
-			for _, j := range void {
-				peers[x].void[j] = true
+		learn := func(x string, jobs []string) {
+			for _, j := range jobs {
+				peers[x].learnt[j] = true
 			}
 		}
 		for ; now < end; now += 20 * time.Millisecond {
@@ -267,12 +267,12 @@
 					after(60, func() {
 						w := answer(x, ask)
 						members[x].Answer(now, span, ask)
-						learn(x, ask.Void)
+						learn(x, ask.Cancelled)
 						after(60, func() { l.Hear(x, w, 5, span, labels) })
 					})
 				}
 			}
-			learn("a", l.Void())
+			learn("a", l.Cancelled())
 			for _, x := range labels {
 				till := members[x].Till()
 				if x == "a" {
@@ -283,7 +283,7 @@
 				}
 				for _, p := range peers {
 					for job, at := range p.told {
-						known := peers[x].void[job] || slices.Contains(jobs[:peers[x].mirror], job)
+						known := peers[x].learnt[job] || slices.Contains(jobs[:peers[x].mirror], job)
 						if !known && now-at > span {
 							rt.Fatalf("%s goes on at %v and does not know of %s, told at %v", x, now, job, at)
 						}
