--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -446,3 +446,52 @@
 		s.within(300*second, "the job is done", s.Users.AllTold)
 	}
 }
+
+// A report that is not believed, here an old one, is answered with stops of what is cancelled,
+// and with nothing else: no answer renews the lease of a machine and leaves such a task there.
+func TestEveryAnswerStopsWhatIsCancelled(t *testing.T) {
+	s := begin(t, 2300)
+	gone, stays := s.Users.Submit(fake.Array(4), 100), s.Users.Submit(fake.Array(4), 100)
+	s.within(60*second, "all tasks run", func() bool { return s.Users.Running() == 8 })
+	k := s.Workers[gone.On(0)]
+	s.Users.Abort(gone)
+	s.within(10*second, "it is cancelled", told(wire.JobCancelled, gone))
+	old := wire.Report{Machine: k.Info.Name, Addr: k.Info.Addr, Type: k.Info.Type, Zone: k.Info.Zone, Spot: k.Info.Spot, Session: 1,
+		Tasks: []wire.TaskReport{
+			{Task: wire.TaskName(gone.Spec.ID, 0), Attempt: 1, State: wire.TaskRunning},
+			{Task: wire.TaskName(gone.Spec.ID, 1), Attempt: 1, State: wire.TaskExited, Why: wire.WhyDone},
+			{Task: wire.TaskName(stays.Spec.ID, 0), Attempt: 1, State: wire.TaskRunning},
+		}}
+	var answer wire.ReportAnswer
+	k.ReportsTo().Ask(func(id core.RequestID) core.Command { return core.WorkerReport{ID: id, Report: old} }, func(r core.Reply) {
+		answer, _ = r.Body.(wire.ReportAnswer)
+	})
+	s.Run(s.Now + second)
+	stop := wire.Command{Op: wire.OpStop, Task: old.Tasks[0].Task, Attempt: 1}
+	if len(answer.Commands) != 1 || answer.Commands[0] != stop {
+		t.Fatalf("the answer has %+v", answer.Commands)
+	}
+}
+
+// What was learnt of others is not forgotten while this node is entitled by a mirror from
+// before: the rounds may end, since a controller does, just when that is over.
+func TestWhatWasLearntOutlivesAnOldMirror(t *testing.T) {
+	for k := range 24 {
+		set := fake.Settings(3)
+		set.Site.Workers.CancelS = 24 // little more than two spans and a lease
+		s := &story{World: fake.Build(2400, set, fake.Types()), t: t}
+		s.Run(2 * second)
+		s.boxes(12)
+		gone := s.Users.Submit(fake.Array(40), 100)
+		s.within(60*second, "all tasks run", func() bool { return gone.Running() == 40 })
+		n, third := s.leader(), s.third()
+		s.State.Refuses[n.Label] = true
+		s.Users.Only = s.follower()
+		s.Users.Abort(gone)
+		s.within(5*second, "its user is told", told(wire.JobCancelled, gone))
+		s.State.Outage(60 * second)
+		s.After(3*second+time.Duration(k)*second/10, func() { third.Crash(0) })
+		s.Run(s.Now + s.cancelS() + second)
+		s.rules()
+	}
+}
