The checker is shown to catch forgotten, cancelled and quota faults of the meetings

Three seeded faults: nobody answers users for 90 s after all troubles, a task of a cancelled job is forced onto a machine long after, tasks of a team are forced past its limit.

--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -495,3 +496,44 @@
 		s.rules()
 	}
 }
+
+// The checker can fail: nobody answers for a job once all troubles are over, a task of a
+// cancelled job appears long after, and a team's tasks start past its limit.
+func TestCheckerCatchesFaultsOfMeetings(t *testing.T) {
+	for rule, fault := range map[string]func(s *story, red *fake.Job){
+		"forgotten": func(s *story, red *fake.Job) {
+			s.Users.Calm = s.Now
+			for _, n := range s.Nodes {
+				s.Cut(n.Label, "users", false)
+			}
+			s.Run(s.Now + 90*second)
+		},
+		"ran_cancelled": func(s *story, red *fake.Job) {
+			s.Users.Abort(red)
+			s.Run(s.Now + s.cancelS() + 10*second)
+			s.Workers[s.Cloud.Add("box", "b", true)].Force(wire.TaskName(red.Spec.ID, 3), 99)
+			s.Run(s.Now + 5*second)
+		},
+		"quota": func(s *story, red *fake.Job) {
+			s.boxes(8)
+			more := fake.Array(12)
+			more.Team = "red"
+			j := s.Users.Submit(more, 60)
+			for i, k := range s.SomeWorkers(8) {
+				k.Force(wire.TaskName(j.Spec.ID, i), 99)
+			}
+			s.Run(s.Now + 5*second)
+		},
+	} {
+		s := begin(t, 2500)
+		spec := fake.Array(24) // all that the team may use
+		spec.Team = "red"
+		spec.ImageGB = 0 // or it would be stopped before it has its image
+		red := s.Users.Submit(spec, 200)
+		s.within(60*second, "all tasks run", func() bool { return red.Running() == 24 })
+		fault(s, red)
+		if !slices.ContainsFunc(s.Broken, func(b string) bool { return strings.Contains(b, rule+":") }) {
+			t.Errorf("%s is not noticed: %v", rule, s.Broken)
+		}
+	}
+}
