Only the largest jobs' first tasks go ahead, and nothing is stopped for them

Cause: a first task that found no room had others stopped, as many as the whole job could use (makeRoom counts all that waits), and every array's went ahead, small ones too.

Change: the first task goes ahead for the largest quarter of a class's open jobs alone (an eighth where the class is due), from two thirds of begin_s on, and waits for room; nothing is stopped for it.

--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -27,7 +27,7 @@
 	BootPatience        float64 // a boot is given up after this many boot times
 	FloorShare          float64 // the share of the jobs of each class of a team that is served before others go on; 0: none
 	FloorLeases         float64 // a job that waits for longer than this many worker leases is overdue
-	BeginS              float64 // seconds within which a job's first task is to start; 0: no promise
+	BeginS              float64 // seconds within which the largest arrays of a class are to begin; 0: no promise
 }
 
 // DefaultPolicy is what holds without a script.
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -165,7 +165,9 @@
 			if q.stops > 0 {
 				q.reason = q.stopWhy + "; " + q.reason
 			}
-			o.makeRoom(q, p)
+			if !q.begins { // a first task waits for room, nothing is stopped for it
+				o.makeRoom(q, p)
+			}
 			if sent == 0 {
 				o.keepRoom(q, 1, p)
 			}
--- a/internal/core/turns.go
+++ b/internal/core/turns.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
 	"time"
 
@@ -54,63 +53,64 @@
 			}
 		}
 	}
-	due, large := map[floor.Account]bool{}, o.largest(ranked)
+	due := map[floor.Account]bool{}
 	for i := range o.floors {
 		due[o.floors[i].Account] = o.floors[i].Turn != floor.None
 	}
+	large := largest(ranked, due)
 	for i, q := range ranked {
 		j := &jobs[i]
-		q.held = j.Held
+		q.held, q.begins = j.Held, false
 		switch q.turn = j.Turn; {
 		case j.Turn == floor.Behind && q.band > bandBehind:
 			q.band, q.size = bandBehind, float64(j.Rank)
 		case j.Turn == floor.Ahead && q.band > bandAhead:
 			q.band, q.size = bandAhead, float64(j.Rank)
 		}
-		o.begin(q, j.Age, due[j.Account] && !large[q])
+		if large[q] {
+			o.begin(q, j.Age)
+		}
 	}
 }
 
-// largest tells which jobs are among the largest eighth, by tasks, of those of their class of a
-// team that are not over: half of the largest quarter. A class whose jobs are alike has none.
-func (o *orchestrator) largest(jobs []*queued) map[*queued]bool {
+// largest tells which of the jobs that are not over are the largest of their class of a team,
+// by tasks: a quarter of them, or an eighth where the class is due. A class whose jobs are alike
+// has none.
+func largest(jobs []*queued, due map[floor.Account]bool) map[*queued]bool {
 	open := map[floor.Account][]*queued{}
 	for _, q := range jobs {
 		a := floor.Account{Team: q.j.rec.Spec.Team, Class: q.j.rec.Spec.Class}
 		open[a] = append(open[a], q)
 	}
 	out := map[*queued]bool{}
-	for _, list := range open {
+	for a, list := range open {
 		slices.SortStableFunc(list, func(x, y *queued) int { return cmp.Compare(y.j.rec.Spec.Tasks, x.j.rec.Spec.Tasks) })
-		for _, q := range list[:len(list)/8] {
+		n := len(list) / 4
+		if due[a] {
+			n = len(list) / 8
+		}
+		for _, q := range list[:n] {
 			out[q] = q.j.rec.Spec.Tasks > list[len(list)/2].j.rec.Spec.Tasks
 		}
 	}
 	return out
 }
 
-// begin lets the first task of an array go first once its job has waited for half of the time
-// in which it is to begin: behind what a guarantee covers and behind classes that are due, and
-// from three quarters on before all of them; not if its own class is due, unless it is one of
-// the largest. It is one task; the rest has its ordinary rank, and the first is not stopped for
-// others.
+// begin lets the first task of an array that is among the largest of its class go before all but
+// services once its job has waited for two thirds of the time in which it is to begin. It is one
+// task; the rest has its ordinary rank, and the first is not stopped for others.
 //
 // Guards against the largest jobs of a class that never begin, since smaller ones of the same
 // class come all the time: counted by jobs the class is served well. Where it is due, jobs that
 // are completed count for more than jobs that are begun.
-func (o *orchestrator) begin(q *queued, age float64, waits bool) {
-	q.begins = false
+func (o *orchestrator) begin(q *queued, age float64) {
 	s, promise := &q.j.rec.Spec, o.c.policy.BeginS
-	if promise <= 0 || age < promise/2 || s.Kind != wire.KindArray || q.j.doneN+len(q.finished) > 0 || o.suspect(q) {
+	if promise <= 0 || age < promise*2/3 || s.Kind != wire.KindArray || q.j.doneN+len(q.finished) > 0 || o.suspect(q) {
 		return
 	}
 	q.held = q.held || len(q.flights) == 1
-	band, size := bandBehind, math.MaxFloat64/age
-	if age >= promise*3/4 && !waits {
-		band, size = bandAhead, -age
-	}
-	if len(q.flights) == 0 && q.band > band {
-		q.begins, q.band, q.size = true, band, size
+	if len(q.flights) == 0 && q.band > bandAhead {
+		q.begins, q.band, q.size = true, bandAhead, -age
 	}
 }
 
