The largest quarter, or eighth, of a class's open jobs is rounded up

Ruled out: that classes whose jobs are alike lose by it (only jobs larger than the median count; the stories of floors pass).

Change: rounded up.

--- a/internal/core/turns.go
+++ b/internal/core/turns.go
@@ -85,11 +85,11 @@
 	out := map[*queued]bool{}
 	for a, list := range open {
 		slices.SortStableFunc(list, func(x, y *queued) int { return cmp.Compare(y.j.rec.Spec.Tasks, x.j.rec.Spec.Tasks) })
-		n := len(list) / 4
+		part := 4
 		if due[a] {
-			n = len(list) / 8
+			part = 8
 		}
-		for _, q := range list[:n] {
+		for _, q := range list[:(len(list)+part-1)/part] {
 			out[q] = q.j.rec.Spec.Tasks > list[len(list)/2].j.rec.Spec.Tasks
 		}
 	}
