--- a/internal/core/links_test.go
+++ b/internal/core/links_test.go
@@ -323,6 +323,7 @@
 // is not given any; once machines answer it, it is.
 func TestMemberThatComesBackWithoutMachinesIsGivenNone(t *testing.T) {
 	s := withBoxes(t, 430, 6)
+	s.Users.Submit(fake.Array(24), 100) // or the machines are returned meanwhile, and there are none to reach
 	n := s.follower()
 	for _, end := range []string{"state", "workers", "node-0", "node-1", "node-2"} {
 		if end != n.Label {
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -537,3 +537,34 @@
 		}
 	}
 }
+
+// A task that an owner first sees under way says nothing of its duration when it ends.
+func TestTasksMetUnderWayAreNotTimed(t *testing.T) {
+	s := begin(t, 2600)
+	s.boxes(8)
+	j := s.Users.Submit(fake.Array(24), 40)
+	s.within(60*second, "all tasks run", func() bool { return j.Running() == 24 })
+	s.Run(s.Now + 30*second)
+	for _, n := range s.Nodes {
+		n.Crash(second / 5)
+	}
+	ended := 0
+	for range 100 {
+		s.Run(s.Now + second/5)
+		for _, n := range s.Nodes {
+			for _, m := range n.Core.WholePicture().Machines {
+				for _, task := range m.Tasks {
+					if task.State == wire.TaskExited {
+						ended++
+					}
+					if task.RanS > 0 && task.RanS < 39 {
+						t.Fatalf("%s is said to have run for %.1f s", task.Task, task.RanS)
+					}
+				}
+			}
+		}
+	}
+	if ended == 0 {
+		t.Fatal("no task was seen to end: nothing was shown")
+	}
+}
--- a/internal/core/placed.go
+++ b/internal/core/placed.go
@@ -29,6 +29,7 @@
 	state   string
 	why     string
 	since   time.Duration // when it was seen running
+	met     bool          // this owner found it running: when it began is not known
 	ranS    float64
 	stop    bool // asked to stop
 	now     bool // without time to save
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -136,7 +136,7 @@
 			p.c.emit(Log{Level: LevelError, Text: "worker lists a task with a strange name", Args: []any{"machine", r.name, "task", tr.Task}})
 			return at
 		}
-		t = &placed{task: tr.Task, ref: ref, index: index, attempt: tr.Attempt}
+		t = &placed{task: tr.Task, ref: ref, index: index, attempt: tr.Attempt, met: tr.State == wire.TaskRunning}
 		if j := p.c.ledger.accepted(ref); j != nil {
 			t.spec = &j.rec.Spec
 		}
@@ -156,7 +156,9 @@
 	}
 	if tr.State == wire.TaskExited && t.state != wire.TaskExited {
 		t.ended = p.c.now.Steady
-		if t.since > 0 {
+		// Guards against durations that count from a change of owners: reports of minutes
+		// were predicted to take 1.7 s, and no machine was rented for them.
+		if t.since > 0 && !t.met {
 			t.ranS = (p.c.now.Steady - t.since).Seconds()
 		}
 		switch tr.Why {
