--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -46,13 +46,12 @@
 	}
 	r.answered = max(r.answered, c.now.Steady)
 	var ans wire.ReportAnswer
-	switch {
-	case newest && r.trusted:
+	if newest && r.trusted {
 		if entitled {
 			p.place()
 		}
 		ans.Commands = p.commands(r, 0, entitled)
-	default:
+	} else {
 		ans.Commands = p.stops(rep)
 	}
 	ans.Token = r.token // which the commands may have raised
--- a/internal/core/turns.go
+++ b/internal/core/turns.go
@@ -199,10 +199,10 @@
 }
 
 // keeps reports whether anything is to be kept for n tasks of a job in this round: if it
-// is their turn, or that of its first, and if they need more at once than any other task that waits, since
-// whatever gets free is offered to them first. They have it kept for as long as a patience
-// lasts, and after as long a pause again, so that a turn that can't be taken for a reason
-// nobody foresaw holds up the others for half of the time at most.
+// is their turn, or that of its first, and if they need more at once than any other task
+// that waits, since whatever gets free is offered to them first. They have it kept for as
+// long as a patience lasts, and after as long a pause again, so that a turn that can't be
+// taken for a reason nobody foresaw holds up the others for half of the time at most.
 func (o *orchestrator) keeps(q *queued, n int, p *plan) bool {
 	if q.turn == floor.None && !q.begins || float64(n)*q.j.rec.Spec.CPUs <= p.least+slack {
 		return false
--- a/internal/core/worlds_test.go
+++ b/internal/core/worlds_test.go
@@ -313,17 +313,6 @@
 	}
 }
 
-// peers names the state service and all controllers but one.
-func (d *deployment) peers(s *story, n *fake.Node) []string {
-	out := []string{"state"}
-	for _, x := range s.Nodes {
-		if x != n {
-			out = append(out, x.Label)
-		}
-	}
-	return out
-}
-
 // trouble draws one trouble.
 func (d *deployment) trouble(rt *rapid.T, s *story) {
 	at := seconds(rt, "at", 2, 100)
@@ -446,7 +435,7 @@
 	case "leader cut from all but workers and users":
 		s.At(at, func() {
 			if n := s.leads(); n != nil {
-				s.cutOff(span, n.Label, d.peers(s, n)...)
+				s.cutOff(span, n.Label, s.others(n)...)
 			}
 			s.After(span/4, func() { d.cancel(s, some) })
 		})
