Read again: the largest jobs are looked for only where somebody has waited; a twin less

Every round sorted all open jobs by class, also where no job had waited for as long as a first task needs, or where begin_s is 0: now only where one has. The drawn worlds use the stories' cancelS instead of one of their own.

--- a/internal/core/turns.go
+++ b/internal/core/turns.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -57,7 +58,10 @@
 	for i := range o.floors {
 		due[o.floors[i].Account] = o.floors[i].Turn != floor.None
 	}
-	large := largest(ranked, due)
+	var large map[*queued]bool // looked for only where somebody has waited for long enough
+	if from := o.beginsFrom(); slices.ContainsFunc(jobs, func(j floor.Job) bool { return j.Age >= from }) {
+		large = largest(ranked, due)
+	}
 	for i, q := range ranked {
 		j := &jobs[i]
 		q.held, q.begins = j.Held, false
@@ -96,6 +100,14 @@
 	return out
 }
 
+// beginsFrom is how long a large job waits, in seconds, until its first task goes ahead.
+func (o *orchestrator) beginsFrom() float64 {
+	if o.c.policy.BeginS <= 0 {
+		return math.Inf(1)
+	}
+	return o.c.policy.BeginS * 2 / 3
+}
+
 // begin lets the first task of an array that is among the largest of its class go before all but
 // services once its job has waited for two thirds of the time in which it is to begin. It is one
 // task; the rest has its ordinary rank, and the first is not stopped for others.
@@ -104,8 +116,7 @@
 // class come all the time: counted by jobs the class is served well. Where it is due, jobs that
 // are completed count for more than jobs that are begun.
 func (o *orchestrator) begin(q *queued, age float64) {
-	s, promise := &q.j.rec.Spec, o.c.policy.BeginS
-	if promise <= 0 || age < promise*2/3 || s.Kind != wire.KindArray || q.j.doneN+len(q.finished) > 0 || o.suspect(q) {
+	if age < o.beginsFrom() || q.j.rec.Spec.Kind != wire.KindArray || q.j.doneN+len(q.finished) > 0 || o.suspect(q) {
 		return
 	}
 	q.held = q.held || len(q.flights) == 1
--- a/internal/core/worlds_test.go
+++ b/internal/core/worlds_test.go
@@ -301,8 +301,6 @@
 	return names
 }
 
-func (d *deployment) cancelS() time.Duration { return config.Seconds(d.set.Site.Workers.CancelS) }
-
 // cancel has users cancel up to n of the jobs that are under way.
 func (d *deployment) cancel(s *story, n int) {
 	for _, j := range d.jobs {
@@ -422,7 +420,7 @@
 		during(func() { s.State.LateShare, s.State.LateFrom = share, 2*second }, func() { s.State.LateShare, s.State.LateFrom = before, 0 })
 	case "gap": // jobs are cancelled through those who are still served
 		alone := seconds(rt, "the leader alone for", 0.5, 4.5)
-		out := d.cancelS() + seconds(rt, "longer by", 1, 30)
+		out := s.cancelS() + seconds(rt, "longer by", 1, 30)
 		d.over = max(d.over, at+alone+out+second)
 		s.At(at, func() {
 			if n := s.leads(); n != nil {
