--- a/cmd/regress/main.go
+++ b/cmd/regress/main.go
@@ -24,14 +24,19 @@
 	Days int      `default:"0" help:"How many days a hunt plays on each deployment; 0: as many as the bench does."`
 	Day  string   `placeholder:"DAY" help:"Instead of a score: this one day of each deployment, by its name, or a TOML file of your own."`
 	Site []string `type:"existingfile" placeholder:"SITE" help:"Instead of the kit's: site files of your own (docs/floors.md says how to make one)."`
-	Mode string   `arg:"" enum:"quick,fleet,full,hunt" help:"quick: the two roughest days of the four deployments; fleet: of the two at fleet size as well, for a change of storage, membership, timers or messages; full: every standard day of all six; hunt: drawn days on all six."`
+	Mode string   `arg:"" enum:"quick,fleet,full,hunt" help:"quick: the two roughest days of the four deployments; fleet: of the two at fleet size as well, for a change of storage, membership, timers or messages; full: every standard day of all six; hunt: drawn days on all six, and on the two of meeting troubles."`
 }
 
 // sites are the deployments of a mode, as patterns below the kit.
 func sites(mode string) []string {
 	all := []string{"change/*-next.toml", "more/*-ops.toml", "more/fleet/*-fleet.toml"}
-	if mode == "quick" {
+	switch mode {
+	case "quick":
 		return all[:2]
+	case "hunt":
+		// As deployments these equal the fleet's, so they are not scored; their drawn days
+		// are others.
+		return append(all, "more/hunt/*-hunt.toml")
 	}
 	return all
 }
@@ -46,7 +51,7 @@
 	if len(c.Why) >= 120 {
 		return errors.New("--why is too long: under 120 characters")
 	}
-	bench := filepath.Join(c.Kit, "more", "fleet", "bin", "fleetbench")
+	bench := filepath.Join(c.Kit, "more", "hunt", "bin", "fleetbench")
 	files := c.Site
 	patterns := sites(c.Mode)
 	if len(files) > 0 {
