The checker sees older words, resumed tasks, late starts and jobs left waiting

Cause: a story can only fail for what the stand-ins notice. Users.hear passed over every answer whose question left before the last word came, which with questions at all nodes at once is nearly all of them; a job that waits for nothing was noticed by nobody; and the stand-in of the state service told a writer at once that its answer is lost, so that nobody ever read what a writer did not know yet.

Change: an answer is wrong if its question left after a newer word had come to that user, whichever node said it, and done and cancelled exclude one another whenever they were asked for. A cancelled job's tasks are looked for on hung machines too. Starts that a machine takes after the user was told are counted. After all troubles no job waits 90 s while one and the same machine could take its task and its team is under its limit (fake/waiting.go says how gangs, spread jobs, jobs behind others and quarantined machines are judged). Jobs that can't run are refused at every node. A lost answer now is a time-out.

Shown: each check notices a seeded fault (TestCheckerCatchesFaultsOfMeetings, nine cases).

--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -497,24 +497,63 @@
 	}
 }
 
-// The checker can fail: nobody answers for a job once all troubles are over, a task of a
-// cancelled job appears long after, and a team's tasks start past its limit.
+// The checker can fail: each of its rules notices a fault that is seeded.
 func TestCheckerCatchesFaultsOfMeetings(t *testing.T) {
-	for rule, fault := range map[string]func(s *story, red *fake.Job){
-		"forgotten": func(s *story, red *fake.Job) {
+	// reopened is a job that was done and that one node, with a slow way to the users, has
+	// queued again; forgets it altogether if that node has lost it.
+	reopened := func(s *story, forgets bool) {
+		j := s.Users.Submit(fake.Array(2), 3)
+		s.within(40*second, "it is done", told(wire.JobDone, j))
+		s.Run(s.Now + 4*second) // its lot is gone
+		if forgets {
+			s.State.Forget("c/job/" + j.Spec.ID)
+		} else {
+			s.State.Reopen(j.Spec)
+		}
+		n := s.follower()
+		n.Crash(second / 5)
+		s.Run(s.Now + 5*second)
+		s.Link(n.Label, "users", fake.Link{Delay: second})
+		s.Users.Look(j) // the others' answers come first
+		s.Run(s.Now + 3*second)
+	}
+	for name, fault := range map[string]struct {
+		rule string
+		seed func(s *story, red *fake.Job)
+	}{
+		"nobody answers": {"forgotten", func(s *story, red *fake.Job) {
 			s.Users.Calm = s.Now
 			for _, n := range s.Nodes {
 				s.Cut(n.Label, "users", false)
 			}
 			s.Run(s.Now + 90*second)
-		},
-		"ran_cancelled": func(s *story, red *fake.Job) {
+		}},
+		"a start long after": {"ran_cancelled", func(s *story, red *fake.Job) {
 			s.Users.Abort(red)
 			s.Run(s.Now + s.cancelS() + 10*second)
 			s.Workers[s.Cloud.Add("box", "b", true)].Force(wire.TaskName(red.Spec.ID, 3), 99)
 			s.Run(s.Now + 5*second)
-		},
-		"quota": func(s *story, red *fake.Job) {
+		}},
+		"a task goes on as its machine does": {"ran_cancelled", func(s *story, red *fake.Job) {
+			s.Users.Abort(red)
+			s.Run(s.Now + s.cancelS() - 5*second)
+			k := s.Workers[s.Cloud.Add("box", "b", true)]
+			k.Force(wire.TaskName(red.Spec.ID, 3), 99)
+			s.Run(s.Now + 2*second/10)
+			k.Hung = true // before it could be stopped, and beyond cancel_s
+			s.Run(s.Now + 10*second)
+			k.Hung = false
+			s.Run(s.Now + second)
+		}},
+		"a start after the word": {"late starts", func(s *story, red *fake.Job) {
+			s.Users.Abort(red)
+			s.within(10*second, "it is cancelled", told(wire.JobCancelled, red))
+			s.Workers[s.Cloud.Add("box", "b", true)].Force(wire.TaskName(red.Spec.ID, 3), 99)
+			if s.Users.LateStarts == 1 {
+				s.Broken = append(s.Broken, "late starts: one")
+			}
+		}},
+		"past the limit": {"quota", func(s *story, red *fake.Job) {
 			s.boxes(8)
 			more := fake.Array(12)
 			more.Team = "red"
@@ -523,18 +562,38 @@
 				k.Force(wire.TaskName(j.Spec.ID, i), 99)
 			}
 			s.Run(s.Now + 5*second)
-		},
+		}},
+		"an older word that comes last": {"went_back", func(s *story, red *fake.Job) { reopened(s, false) }},
+		"unknown at one node":           {"forgotten", func(s *story, red *fake.Job) { reopened(s, true) }},
+		"accepted though it can't run": {"wrongly_accepted", func(s *story, red *fake.Job) {
+			s.Users.Never(fake.Array(1))
+			s.Run(s.Now + second)
+		}},
+		"room, and a limit that only the checker lifts": {"left_waiting", func(s *story, red *fake.Job) {
+			s.Set.Site.Teams = []config.Team{{Name: "red", CPUsMax: 100}}
+			most := fake.Array(6) // of which each leaves a CPU of its machine
+			most.CPUs = 3
+			s.Users.Submit(most, 300)
+			more := fake.Array(2)
+			more.Team = "red"
+			s.Users.Submit(more, 10)
+			s.Run(s.Now + 30*second)
+			s.Users.Calm = s.Now
+			s.Run(s.Now + 100*second)
+		}},
 	} {
-		s := begin(t, 2500)
-		spec := fake.Array(24) // all that the team may use
-		spec.Team = "red"
-		spec.ImageGB = 0 // or it would be stopped before it has its image
-		red := s.Users.Submit(spec, 200)
-		s.within(60*second, "all tasks run", func() bool { return red.Running() == 24 })
-		fault(s, red)
-		if !slices.ContainsFunc(s.Broken, func(b string) bool { return strings.Contains(b, rule+":") }) {
-			t.Errorf("%s is not noticed: %v", rule, s.Broken)
-		}
+		t.Run(name, func(t *testing.T) {
+			s := begin(t, 2500)
+			spec := fake.Array(24) // all that the team may use
+			spec.Team = "red"
+			spec.ImageGB = 0 // or it would be stopped before it has its image
+			red := s.Users.Submit(spec, 300)
+			s.within(60*second, "all tasks run", func() bool { return red.Running() == 24 })
+			fault.seed(s, red)
+			if !slices.ContainsFunc(s.Broken, func(b string) bool { return strings.Contains(b, fault.rule+":") }) {
+				t.Errorf("%s is not noticed: %v", fault.rule, s.Broken)
+			}
+		})
 	}
 }
 
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -27,6 +27,7 @@
 	Refused int     // calls above the limit
 	Out     bool    // an outage
 	Boots   float64 // boots take so many times as long, 0: once
+	AtOnce  bool    // machines are up within two seconds
 	calls   bucket
 }
 
@@ -108,6 +109,9 @@
 			continue
 		}
 		boot := config.Seconds(c.Type(h.Type).BootS * (0.6 + 0.9*c.w.Rand.Float64()) * max(c.Boots, 1))
+		if c.AtOnce {
+			boot = time.Duration(c.w.Rand.Int64N(int64(2 * time.Second)))
+		}
 		c.w.After(boot, func() { c.up(name) })
 	}
 	c.answers[h.Request] = names
--- a/internal/fake/state.go
+++ b/internal/fake/state.go
@@ -26,6 +26,7 @@
 	LateShare float64
 	LateFrom  time.Duration
 	LateBy    time.Duration
+	LateOnly  string        // only of those that change a key with this prefix, empty: of all
 	Late      int           // transactions that were
 	Slow      time.Duration // is added to every answer
 	Lowered   bool          // the limits that were announced hold
@@ -155,8 +156,13 @@
 		}
 		return 400, wire.TxnAnswer{}
 	}
-	if s.LateShare > 0 && s.w.Rand.Float64() < s.LateShare {
+	if s.LateShare > 0 && slices.ContainsFunc(t.Then, func(op wire.Op) bool { return strings.HasPrefix(op.Put+op.Delete, s.LateOnly) }) &&
+		s.w.Rand.Float64() < s.LateShare {
 		s.Late++
+		if s.LateBy == 0 { // carried out at once: only the answer is lost
+			s.apply(t)
+			return 0, wire.TxnAnswer{}
+		}
 		s.w.After(s.LateFrom+time.Duration(s.w.Rand.Int64N(int64(s.LateBy-s.LateFrom)+1)), func() { s.apply(t) })
 		return 0, wire.TxnAnswer{}
 	}
--- a/internal/fake/users.go
+++ b/internal/fake/users.go
@@ -25,6 +25,15 @@
 	Late    int           // or none at all in time
 	Only    *Node         // whom all requests go to, nil: to any that is ready
 	Calm    time.Duration // when all troubles are over, 0: not known
+	// CloseLooks has users ask at all nodes again and again within milliseconds, and repeat
+	// the submission, right after a job was accepted, ended or called cancelled.
+	CloseLooks bool
+	// AtEnd is the share of jobs that are called off at the moment at which they end.
+	AtEnd float64
+	// LateStarts counts the starts that a machine took after the user was told that the job
+	// is cancelled.
+	LateStarts int
+	Looks      int // questions of close looks that were answered with 200
 }
 
 // Job is a job as its user sees it.
@@ -34,11 +43,14 @@
 	RunsS     []float64 // by task, if they differ
 	Mistaken  bool      // fails wherever it runs
 	Accepted  bool
-	Refused   int // the final refusal's status
+	Refused   int  // the final refusal's status
+	Never     bool // can't run or lacks a field: must not be accepted
 	Told      string
-	toldAt    time.Duration
-	knownAt   time.Duration // when a question about it was answered last
-	sentAt    time.Duration // when it was handed in
+	overAt    time.Duration            // when the first word came that it is done or cancelled
+	knownAt   time.Duration            // when a question about it was answered last
+	waits     map[string]time.Duration // machines that could take it while it waits, and since when
+	startedAt time.Duration            // when a machine took one of its tasks last
+	sentAt    time.Duration            // when it was handed in
 	Answer    wire.JobAnswer
 	aborting  bool
 	Cancelled time.Duration // when its user was told
@@ -101,9 +113,16 @@
 	u.ask(func(id core.RequestID) core.Command { return core.Submit{ID: id, Job: j.Spec} }, func(r core.Reply) {
 		switch r.Status {
 		case 200, 201:
+			if j.Never {
+				u.w.broke("wrongly_accepted", "%s is answered %d", j.Spec.ID, r.Status)
+			}
+			first := !j.Accepted
 			j.Accepted = true
 			u.hear(j, r.Body.(wire.JobAnswer), sent)
-			u.w.After(time.Second, func() { u.poll(j) })
+			if first {
+				u.w.After(time.Second, func() { u.poll(j) })
+				u.look(j)
+			}
 		case 400, 422:
 			if j.Accepted {
 				u.w.broke("forgotten", "%s was accepted and then refused with %d", j.Spec.ID, r.Status)
@@ -118,6 +137,49 @@
 // Resubmit hands the same job in once more.
 func (u *Users) Resubmit(j *Job) { u.send(j) }
 
+// look is a close look at a job, if users take them.
+func (u *Users) look(j *Job) {
+	if u.CloseLooks {
+		u.Look(j)
+	}
+}
+
+// Look has a job's user ask at all nodes, and hand it in again at one of them, three times
+// within some milliseconds.
+func (u *Users) Look(j *Job) {
+	w := u.w
+	at := func(n *Node, build func(core.RequestID) core.Command) {
+		sent, known := w.Now, j.Accepted
+		call(w, "users", n.Label, 5*time.Second, func(reply func(core.Reply)) { n.Ask(build, reply) }, func(r core.Reply) {
+			switch {
+			case r.Status == 200 || r.Status == 201:
+				u.Looks++
+				u.hear(j, r.Body.(wire.JobAnswer), sent)
+			case known && (r.Status == 404 || r.Status == 400 || r.Status == 422):
+				w.broke("forgotten", "%s is answered %d by %s", j.Spec.ID, r.Status, n.Label)
+			}
+		}, func() {})
+	}
+	for k := range 3 {
+		w.After(time.Duration(k)*4*time.Millisecond, func() {
+			for i, n := range w.Nodes {
+				at(n, func(id core.RequestID) core.Command { return core.Query{ID: id, Job: j.Spec.ID} })
+				if i == k%len(w.Nodes) {
+					at(n, func(id core.RequestID) core.Command { return core.Submit{ID: id, Job: j.Spec} })
+				}
+			}
+		})
+	}
+}
+
+// ended is told of the moment at which the last task of a job completes.
+func (u *Users) ended(j *Job) {
+	if u.AtEnd > 0 && u.w.Rand.Float64() < u.AtEnd {
+		u.Abort(j)
+	}
+	u.look(j)
+}
+
 // forgottenAfter is how long a job may go without an answer to any question about it once all
 // troubles are over.
 const forgottenAfter = 75 * time.Second
@@ -128,6 +190,7 @@
 		u.w.broke("forgotten", "no question about %s has been answered since %.3f", j.Spec.ID, j.knownAt.Seconds())
 		j.knownAt = u.w.Now // said once
 	}
+	u.checkWaiting(j)
 	u.ask(func(id core.RequestID) core.Command { return core.Query{ID: id, Job: j.Spec.ID} }, func(r core.Reply) {
 		switch r.Status {
 		case 200:
@@ -157,6 +220,23 @@
 	})
 }
 
+// Never hands in, at all nodes, a job that can't run: each refuses it for good, or has its
+// user come again, however little it knows yet.
+func (u *Users) Never(spec wire.Job) *Job {
+	j := u.Submit(spec, 1)
+	j.Never = true
+	for _, n := range u.w.Nodes {
+		call(u.w, "users", n.Label, 5*time.Second, func(reply func(core.Reply)) {
+			n.Ask(func(id core.RequestID) core.Command { return core.Submit{ID: id, Job: j.Spec} }, reply)
+		}, func(r core.Reply) {
+			if r.Status != 422 && r.Status != 400 && r.Status != 503 {
+				u.w.broke("wrongly_accepted", "%s is answered %d by %s", j.Spec.ID, r.Status, n.Label)
+			}
+		}, func() {})
+	}
+	return j
+}
+
 // Abort cancels a job, again and again until that is confirmed.
 func (u *Users) Abort(j *Job) {
 	j.aborting = true
@@ -173,17 +253,14 @@
 // Wants notes that a job's user wants it cancelled, whoever is asked and whatever comes of it.
 func (u *Users) Wants(j *Job) { j.aborting = true }
 
-// hear takes what a node says of a job in answer to a request sent at that time.
-// An answer to a request from before the last word was heard may be older than
-// that word: both were under way at once.
+// hear takes what a node says of a job in answer to a question that left at that time. It is
+// older than it may be if the question left after a newer word had come, whichever node said
+// that; done and cancelled exclude one another whenever they were asked for.
 func (u *Users) hear(j *Job, a wire.JobAnswer, sent time.Duration) {
 	j.knownAt = u.w.Now
-	if sent < j.toldAt {
-		return
-	}
 	final := func(s string) bool { return s == wire.JobDone || s == wire.JobCancelled }
-	if final(j.Told) && a.State != j.Told {
-		u.w.broke("went_back", "%s was %s and is called %s", j.Spec.ID, j.Told, a.State)
+	if final(j.Told) && a.State != j.Told && (final(a.State) || sent > j.overAt) {
+		u.w.broke("went_back", "%s was %s at %.3f and is called %s, asked at %.3f", j.Spec.ID, j.Told, j.overAt.Seconds(), a.State, sent.Seconds())
 	}
 	before := u.cancelledBefore(j)
 	if over := config.Seconds(u.w.Set.Site.Workers.CancelS); before != nil && before.Cancelled > 0 && sent > before.Cancelled+over && !final(a.State) {
@@ -195,15 +272,25 @@
 	if a.State == wire.JobDone && len(j.done) < j.Spec.Tasks {
 		u.w.broke("not_done", "%s is called done with %d of %d tasks", j.Spec.ID, len(j.done), j.Spec.Tasks)
 	}
-	if a.State == wire.JobCancelled && j.Told != wire.JobCancelled {
+	if final(j.Told) {
+		if a.State == j.Told {
+			j.Answer = a
+		}
+		return // the first such word is the one that counts
+	}
+	if a.State == wire.JobCancelled {
 		j.Cancelled = u.w.Now
 		u.w.After(config.Seconds(u.w.Set.Site.Workers.CancelS), func() {
-			for task, m := range j.on {
+			for task, m := range j.on { // hung machines too: they may resume
 				u.w.broke("ran_cancelled", "%s is still on %s", task, m)
 			}
 		})
 	}
-	j.Told, j.Answer, j.toldAt = a.State, a, u.w.Now
+	j.Told, j.Answer = a.State, a
+	if final(a.State) {
+		j.overAt = u.w.Now
+		u.look(j)
+	}
 }
 
 // cancelledBefore is a job that this one needs, directly or through others, and whose user
--- /dev/null
+++ b/internal/fake/waiting.go
@@ -0,0 +1,128 @@
+package fake
+
+import (
+	"time"
+
+	"github.com/chalkhub/chalkhub/internal/wire"
+)
+
+// leftAfter is how long a job may wait, once all troubles are over, while one and the same
+// machine could take its next task all the time and its team is under its limit.
+const leftAfter = 90 * time.Second
+
+// checkWaiting looks whether a job waits for nothing; its user's polls call it. How what is
+// not a plain array is judged:
+//
+//   - A gang needs room for all of its tasks at once, so it waits for something unless the
+//     machines that could take one task could take all.
+//   - A job that keeps its tasks in one zone, or spreads them, may use the zones that its
+//     other tasks on machines at that moment leave it.
+//   - A job that needs others waits for them until they are done.
+//   - A machine on which some task has failed may be in quarantine, one that hangs, is
+//     faulty or will be taken back takes nothing, and a job that fails everywhere waits for
+//     its next try: none of these count.
+func (u *Users) checkWaiting(j *Job) {
+	if u.Calm == 0 || u.w.Now < u.Calm || !u.couldStart(j) {
+		j.waits = nil
+		return
+	}
+	since := map[string]time.Duration{}
+	room := 0
+	for name, k := range u.w.Workers {
+		n := k.takes(&j.Spec)
+		if n == 0 || !u.placeAllows(j, k.Info.Zone) {
+			continue
+		}
+		room += n
+		if at, ok := j.waits[name]; ok && k.tookAt < at {
+			since[name] = at
+		} else {
+			since[name] = u.w.Now
+		}
+	}
+	if j.Spec.Kind == wire.KindGang && room < j.Spec.Tasks {
+		since = nil
+	}
+	j.waits = since
+	for name, at := range since {
+		if u.w.Now-max(at, j.startedAt) > leftAfter {
+			u.w.broke("left_waiting", "%s of %d tasks is %s (%s) and %s has had room for it since %.3f", j.Spec.ID, j.Spec.Tasks,
+				j.Told, j.Answer.Reason, name, at.Seconds())
+			j.startedAt = u.w.Now // said once
+			return
+		}
+	}
+}
+
+// couldStart reports whether a job has a task that may start now, as far as its team and the
+// jobs that it needs go.
+func (u *Users) couldStart(j *Job) bool {
+	s := &j.Spec
+	if !j.Accepted || j.Mistaken || j.aborting || u.cancelledBefore(j) != nil || j.Told == wire.JobDone || j.Told == wire.JobCancelled {
+		return false
+	}
+	for _, id := range s.Needs {
+		if x := u.jobs[id]; x != nil && len(x.done) < x.Spec.Tasks {
+			return false
+		}
+	}
+	taken := len(j.done)
+	for _, k := range u.w.Workers {
+		for _, t := range k.Tasks {
+			if t.job == j && !j.done[t.index] && t.takesRoom() {
+				taken++
+			}
+		}
+	}
+	if taken >= s.Tasks {
+		return false
+	}
+	n := 1.0
+	if s.Kind == wire.KindGang {
+		n = float64(s.Tasks)
+	}
+	for _, t := range u.w.Set.Site.Teams {
+		if t.Name == s.Team && (t.CPUsMax > 0 && u.cpus[s.Team]+n*s.CPUs > t.CPUsMax || t.GPUsMax > 0 && u.gpus[s.Team]+n*s.GPUs > t.GPUsMax) {
+			return false
+		}
+	}
+	return true
+}
+
+// placeAllows reports whether a job's next task may be in a zone, given its others.
+func (u *Users) placeAllows(j *Job, zone string) bool {
+	s := &j.Spec
+	if s.Zone != "" && s.Zone != zone {
+		return false
+	}
+	here, all := 0, 0
+	for _, m := range j.on {
+		if k := u.w.Workers[m]; k != nil {
+			all++
+			if k.Info.Zone == zone {
+				here++
+			}
+		}
+	}
+	return (!s.OneZone || here == all) && (!s.Spread || here < (s.Tasks+1)/2)
+}
+
+// takes is how many tasks of a job the machine could take now, by its type, kind and room.
+func (k *Worker) takes(s *wire.Job) int {
+	ok := len(s.Types) == 0
+	for _, t := range s.Types {
+		ok = ok || t == k.Info.Type
+	}
+	if !ok || k.Info.Spot && !s.Spot || k.Hung || k.Faulty || k.failed || k.Mute || k.NoticeS != nil {
+		return 0
+	}
+	free := k.free()
+	n := int((free.cpus + 1e-9) / s.CPUs)
+	if s.GPUs > 0 {
+		n = min(n, int((free.gpus+1e-9)/s.GPUs))
+	}
+	if s.MemoryGB > 0 {
+		n = min(n, int((free.mem+1e-9)/s.MemoryGB))
+	}
+	return n
+}
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -13,7 +13,8 @@
 	w       *World
 	Info    wire.Machine
 	Faulty  bool    // every task it starts fails
-	Hung    bool    // does nothing until it resumes
+	Hung    bool    // does nothing until it resumes; its lease ends all the same
+	Mute    bool    // opens no connection to a controller
 	Slow    float64 // tasks take so many times as long, 0: once
 	dead    bool
 	rate    float64
@@ -29,6 +30,8 @@
 	lastRep time.Duration
 	timer   uint64
 	NoticeS *float64
+	tookAt  time.Duration // when it took a task last
+	failed  bool          // a task has failed here
 }
 
 // Task is an attempt on a machine.
@@ -143,12 +146,20 @@
 		k.node = (k.node + 1) % len(k.w.Nodes)
 		next(time.Second)
 	}
-	call(k.w, k.Info.Name, node.Label, 4*time.Second, func(reply func(core.Reply)) {
-		node.Ask(func(id core.RequestID) core.Command { return core.WorkerReport{ID: id, Report: rep} }, reply)
-	}, func(r core.Reply) {
+	if k.Mute {
+		elsewhere()
+		return
+	}
+	k.w.keep(rep)
+	var got func(core.Reply)
+	got = func(r core.Reply) {
 		if k.dead {
 			return
 		}
+		if k.Hung && k.w.Now-sent < 4*time.Second {
+			k.w.After(100*time.Millisecond, func() { got(r) }) // it is read once the machine goes on
+			return
+		}
 		if k.Hung {
 			elsewhere()
 			return
@@ -176,7 +187,10 @@
 			}
 		}
 		elsewhere()
-	}, elsewhere)
+	}
+	call(k.w, k.Info.Name, node.Label, 4*time.Second, func(reply func(core.Reply)) {
+		node.Ask(func(id core.RequestID) core.Command { return core.WorkerReport{ID: id, Report: rep} }, reply)
+	}, got, elsewhere)
 }
 
 func (k *Worker) do(d wire.Do, answer func(int, wire.Report)) {
@@ -255,6 +269,10 @@
 	if t.State != wire.TaskFetching {
 		return true
 	}
+	t.job.startedAt, k.tookAt = k.w.Now, k.w.Now
+	if t.job.Cancelled > 0 {
+		u.LateStarts++
+	}
 	fetch := time.Duration(0)
 	if s := &t.job.Spec; !k.images[s.Image] {
 		fetch = config.Seconds(s.ImageGB / k.w.Cloud.Type(k.Info.Type).FetchGBps)
@@ -334,8 +352,12 @@
 		t.job.saved[t.index] += ran
 	}
 	t.State, t.Why = wire.TaskExited, why
-	if why == wire.WhyDone && t.job != nil {
+	k.failed = k.failed || why == wire.WhyError
+	if why == wire.WhyDone && t.job != nil && !t.job.done[t.index] {
 		t.job.done[t.index] = true
+		if len(t.job.done) == t.job.Spec.Tasks {
+			k.w.Users.ended(t.job)
+		}
 	}
 	k.changed()
 }
@@ -350,17 +372,25 @@
 	k.exit(t, wire.WhyStopped)
 }
 
-func (k *Worker) room(s *wire.Job) bool {
+// amounts are what a machine has left.
+type amounts struct{ cpus, gpus, mem float64 }
+
+func (k *Worker) free() amounts {
 	mt := k.w.Cloud.Type(k.Info.Type)
-	cpus, gpus, mem := mt.CPUs, mt.GPUs, mt.MemoryGB
+	left := amounts{mt.CPUs, mt.GPUs, mt.MemoryGB}
 	for _, t := range k.Tasks {
 		if t.takesRoom() && t.job != nil {
-			cpus -= t.job.Spec.CPUs
-			gpus -= t.job.Spec.GPUs
-			mem -= t.job.Spec.MemoryGB
+			left.cpus -= t.job.Spec.CPUs
+			left.gpus -= t.job.Spec.GPUs
+			left.mem -= t.job.Spec.MemoryGB
 		}
 	}
-	return cpus >= s.CPUs-1e-9 && gpus >= s.GPUs-1e-9 && mem >= s.MemoryGB-1e-9
+	return left
+}
+
+func (k *Worker) room(s *wire.Job) bool {
+	left := k.free()
+	return left.cpus >= s.CPUs-1e-9 && left.gpus >= s.GPUs-1e-9 && left.mem >= s.MemoryGB-1e-9
 }
 
 // Force makes the worker start a task that nobody commanded, for the story that
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -6,7 +6,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -48,6 +50,12 @@
 	// it is set.
 	Applied func(n *Node, cmds []core.Command, took time.Duration)
 
+	// KeepReports has a copy kept of a report of each machine, the first from then on, for
+	// the moment at which somebody else begins to lead: all controllers get it then.
+	KeepReports bool
+	kept        map[string]wire.Report
+	leader      string // the process that led when that was looked at last
+
 	links  map[ends]*Link
 	held   []packet
 	events eventHeap
@@ -92,7 +100,7 @@
 	w := &World{
 		Rand: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), Set: set, Policy: config.DefaultPolicy(),
 		Workers: map[string]*Worker{}, Latency: 2 * time.Millisecond,
-		links: map[ends]*Link{}, peers: map[uint64]*peerLink{},
+		kept: map[string]wire.Report{}, links: map[ends]*Link{}, peers: map[uint64]*peerLink{},
 	}
 	w.State = newState(w)
 	w.Cloud = newCloud(w, types)
@@ -373,8 +381,9 @@
 			e.Txn = oldWrites(e.Txn)
 		}
 		call(w, n.Label, "state", timeout, func(reply func(core.CommitDone)) {
-			status, ans := w.State.Commit(n.Label, old, e.Txn)
-			reply(core.CommitDone{ID: e.ID, Status: status, Answer: ans})
+			if status, ans := w.State.Commit(n.Label, old, e.Txn); status != 0 {
+				reply(core.CommitDone{ID: e.ID, Status: status, Answer: ans})
+			}
 		}, func(d core.CommitDone) { mine(func() { post(d) })() }, mine(func() { post(core.CommitDone{ID: e.ID}) }))
 	case core.Load:
 		call(w, n.Label, "state", timeout, func(reply func(core.LoadDone)) {
@@ -459,6 +468,45 @@
 	}
 }
 
+// keep takes a copy of a report for the next leader.
+func (w *World) keep(r wire.Report) {
+	if _, ok := w.kept[r.Machine]; !ok && w.KeepReports {
+		if len(w.kept) == 0 {
+			w.leader = w.leads()
+			w.watchLeader()
+		}
+		w.kept[r.Machine] = r
+	}
+}
+
+// leads names the process that leads, empty: none does.
+func (w *World) leads() string {
+	for _, n := range w.Nodes {
+		if n.Alive() && n.Core.Leads() {
+			return fmt.Sprintf("%s.%d", n.Label, n.life)
+		}
+	}
+	return ""
+}
+
+// watchLeader hands the kept reports out, in any order, once another process leads.
+func (w *World) watchLeader() {
+	now := w.leads()
+	if now == "" || now == w.leader {
+		w.After(5*time.Millisecond, w.watchLeader)
+		return
+	}
+	kept := w.kept
+	w.kept = map[string]wire.Report{}
+	for _, name := range slices.Sorted(maps.Keys(kept)) {
+		for _, n := range w.Nodes {
+			w.After(w.delay(), func() {
+				n.Ask(func(id core.RequestID) core.Command { return core.WorkerReport{ID: id, Report: kept[name]} }, func(core.Reply) {})
+			})
+		}
+	}
+}
+
 // SomeWorkers draws up to n workers.
 func (w *World) SomeWorkers(n int) []*Worker {
 	var names []string
