What shares a write of accepted jobs fits into a value

A lot was filled counting a byte between two jobs where the form in which limits are counted has two, so that with small values and twenty jobs or so it was larger than a value: the state service answers 400, all its jobs get 503, and the next lot is as large.

Change: two bytes a job. TestLotsFitIntoAValue fills lots at 24 sizes of a value; it fails without the mend (5,198 to 5,201 bytes of 5,197), and passes with it.

--- a/internal/core/lots.go
+++ b/internal/core/lots.go
@@ -84,18 +84,18 @@
 		x.c.after(wait, func() { x.due = false; x.flush() })
 		return
 	}
-	// What fits into a value, and half of the conditions that a transaction may have.
+	// What fits into a value, with ", " between two jobs, and half of the conditions that a transaction may have.
 	// Jobs that need others go into lots of their own, which older versions do not read.
 	var batch, rest []submission
 	size, guards := 16, 1
 	for i := range x.waiting {
 		s := &x.waiting[i]
-		if len(batch) > 0 && (s.prefix() != batch[0].prefix() || size+s.size+1 > min(x.c.valueSize(), 32<<10) || guards+s.guards() > 2*x.c.state.TxnOps) {
+		if len(batch) > 0 && (s.prefix() != batch[0].prefix() || size+s.size+2 > min(x.c.valueSize(), 32<<10) || guards+s.guards() > 2*x.c.state.TxnOps) {
 			rest = append(rest, *s)
 			continue
 		}
 		batch = append(batch, *s)
-		size, guards = size+s.size+1, guards+s.guards()
+		size, guards = size+s.size+2, guards+s.guards()
 	}
 	x.waiting = rest
 	x.write(batch)
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -1180,6 +1180,24 @@
 	s.rules()
 }
 
+// What shares a write fits into a value, however large that may be: a lot was filled by a byte
+// too many for each job, and refused as malformed.
+func TestLotsFitIntoAValue(t *testing.T) {
+	for i := range 24 {
+		set := fake.Settings(3)
+		set.Site.State.WriteRPS, set.Site.State.ValueKB = 10, 5+float64(i*23)/1024
+		s := &story{World: fake.Build(58, set, fake.Types()), t: t}
+		s.Run(5 * second)
+		var jobs []*fake.Job
+		for range 120 {
+			jobs = append(jobs, s.Users.Submit(fake.Array(1), 5))
+		}
+		s.within(8*second, "all are accepted", func() bool {
+			return !slices.ContainsFunc(jobs, func(j *fake.Job) bool { return !j.Accepted })
+		})
+	}
+}
+
 // Where nothing is rented cheap, work without an aim keeps the ordinary machine that was
 // hired for it: it was parked after its first task, and returned for a new one.
 func TestWorkWithoutAnAimWhereNothingIsCheap(t *testing.T) {
