Tasks tied to a zone that has no room move to one that has; drawn worlds draw the new troubles

Cause: drawn worlds with the check of jobs left waiting: a spread job, whose two zones are chosen before its first start, waits for ever if one of them loses its machines and can rent none, with machines idle in a third zone; so does a job of one zone.

Ruled out: zones decided by the leader for each task, without a record. A leader of an older version would put tasks beside them by the record.

Change: once the tasks that share a zone have found no room for a lease, and another zone has room for the next of them, parked machines counted, or theirs can get no machines and another can, the leader writes the other zone into the record: for a job of one zone once no task of it can be anywhere, for a spread one once none of the other half can be in the new zone. A dispatch names the version of the record that it rests on, and a part with an older one gives it back. Beside a controller of a version before Level 1 nothing moves. The story plays arrays, services, gangs, two zones and three, late readers and an end of the leader.

Also here: the drawn worlds draw answers lost, reports kept for the next leader, mute machines, cancellations at the end, as machines hang, as the leader is refused and while work changes hands, odd requests, reports held back, all controllers away, ten leaders, close looks and boots at once, and count which meetings were drawn.

--- a/internal/core/behind.go
+++ b/internal/core/behind.go
@@ -61,13 +61,21 @@
 // Guards against a job in the hands of a version that would not even find it, since it
 // passes its key over, and call it unknown.
 func (l *ledger) tooEarly(id RequestID, what string) bool {
+	label := l.older()
+	if label != "" {
+		l.later(id, "controller "+label+" still runs a version that does not know "+what+": repeat this when all are upgraded")
+	}
+	return label != ""
+}
+
+// older is a live controller that says that its version is older, empty: there is none.
+func (l *ledger) older() string {
 	for _, label := range sortedKeys(l.nodes) {
 		if l.nodes[label].Level < wire.Level {
-			l.later(id, "controller "+label+" still runs a version that does not know "+what+": repeat this when all are upgraded")
-			return true
+			return label
 		}
 	}
-	return false
+	return ""
 }
 
 func because(cause string) string { return "it needs " + cause + ", which was cancelled" }
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"strings"
 
 	"github.com/chalkhub/chalkhub/internal/wire"
@@ -59,7 +58,7 @@
 	out.rooms = make([]*planned, 0, o.rigs.len())
 	for name, v := range o.rigs.all() {
 		s := &v.state
-		if !s.Up || !s.Sure || s.Notice || s.Draining || v.sick || v.mt == nil || !v.registered || v.leaving || v.parked {
+		if !v.takesWork() || v.parked {
 			continue
 		}
 		p := o.parts[v.part]
@@ -155,10 +154,14 @@
 		if m == nil && s.Spread && !full[(i+1)%len(full)] {
 			// Its zone is full; tasks that belong into the other one go on. The first
 			// task without room once held up all, with machines idle in that zone.
-			full[i%len(full)] = true
+			if n := i % len(full); !full[n] {
+				full[n] = true
+				o.rezone(q, i)
+			}
 			continue
 		}
 		if m == nil {
+			o.rezone(q, i)
 			if q.reason == "" {
 				q.reason = o.noRoom(s)
 			}
@@ -295,6 +298,10 @@
 	o.opens[name] = f
 	delete(q.hold, i)
 	try := wire.TaskTry{Task: name, Attempt: f.attempt}
+	if s.OneZone || s.Spread {
+		try.Version = q.j.version
+		delete(q.dry, slot(q, i))
+	}
 	if hold {
 		try.Machine = m.name
 	}
@@ -308,49 +315,3 @@
 	}
 	return "waits for room on a machine of its types and zone"
 }
-
-// chooseZones writes down where the tasks of a job tied to a zone may run,
-// before the first of them starts, so that every later leader keeps to it.
-func (o *orchestrator) chooseZones(q *queued, rooms []*planned) {
-	if q.choosing || q.ending || q.writing {
-		return
-	}
-	s := &q.j.rec.Spec
-	free := map[string]float64{}
-	for _, t := range o.c.types() {
-		if allows(s, t.Name) && holds(t, s) {
-			for _, z := range t.Zones {
-				if s.Zone == "" || s.Zone == z {
-					free[z] += 0
-				}
-			}
-		}
-	}
-	for _, m := range rooms {
-		if _, ok := free[m.zone]; ok && allows(s, m.typ) && m.fits(s) {
-			free[m.zone] += m.cpus
-		}
-	}
-	zones := sortedKeys(free)
-	sort.SliceStable(zones, func(a, b int) bool { return free[zones[a]] > free[zones[b]] })
-	if len(zones) == 0 {
-		return
-	}
-	need := 1
-	if s.Spread && s.Tasks > 1 {
-		need = min(2, len(zones)) // with one zone it runs by halves
-	}
-	rec := q.j.rec
-	rec.Zones = zones[:need]
-	q.choosing = true
-	guards := []wire.Guard{o.c.members.leaderGuard(), q.j.ownGuard()}
-	op := wire.Op{Put: q.j.ownKey(), Value: rec}
-	if wire.TextSize(rec) > o.c.valueSize() {
-		// It was written when values could be larger, or in pieces.
-		op = wire.Op{Put: keyZones + q.id, Value: wire.JobRecord{Zones: rec.Zones}}
-		guards = append(guards, o.c.ledger.guard(op.Put))
-	}
-	o.c.ledger.commit(guards, []wire.Op{op}, func(CommitDone) {
-		o.c.ledger.barrier(func(bool) { q.choosing = false })
-	})
-}
--- a/internal/core/flight.go
+++ b/internal/core/flight.go
@@ -55,6 +55,12 @@
 // known reports whether no task but those that it lists can be on a machine.
 func (v *rigView) known() bool { return v.state.Sure || v.state.Kept }
 
+// takesWork reports whether a machine may be given tasks, parked or not.
+func (v *rigView) takesWork() bool {
+	s := &v.state
+	return s.Up && s.Sure && !s.Notice && !s.Draining && !v.sick && v.mt != nil && v.registered && !v.leaving
+}
+
 // take and give follow which flights a machine has a claim on.
 func (v *rigView) take(name string, f *flight) {
 	if v.tasks[name] != f {
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -53,6 +53,7 @@
 		}
 		if best < 0 {
 			q.reason = "waits for room for all its tasks at once"
+			o.rezone(q, i)
 			o.keepRoom(q, n, p)
 			return
 		}
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -20,9 +20,10 @@
 	limbo    bool         // from before this leader: its tasks may be on unseen machines
 	hold     map[int]time.Duration
 	blame    blame
-	longest  time.Duration // how long one of its tasks has been running, at the most
-	ending   bool          // the final state is being written
-	choosing bool          // its zones are being written
+	longest  time.Duration         // how long one of its tasks has been running, at the most
+	ending   bool                  // the final state is being written
+	choosing bool                  // its zones are being written
+	dry      map[int]time.Duration // since when the tasks of each of them have found no room
 	saveAt   time.Duration
 	writing  bool
 	reason   string
--- a/internal/core/piles_test.go
+++ b/internal/core/piles_test.go
@@ -751,3 +751,65 @@
 		})
 	}
 }
+
+// Jobs tied to zones whose zone has lost its machines and gets none go on in another one that
+// has room, beside controllers that read what was written late, and through an end of the
+// leader: a spread job's half in a third zone, or in the other's once that is done; a job of
+// one zone once none of its tasks can be anywhere.
+func TestTasksMoveToAZoneWithRoom(t *testing.T) {
+	for name, change := range map[string]func(*wire.Job){
+		"spread":            func(x *wire.Job) { x.Spread = true },
+		"spread service":    func(x *wire.Job) { x.Spread, x.Kind, x.EstimateS = true, wire.KindService, 0 },
+		"one zone":          func(x *wire.Job) { x.OneZone = true },
+		"gang of one zone":  func(x *wire.Job) { x.OneZone, x.Kind = true, wire.KindGang },
+		"spread, two zones": func(x *wire.Job) { x.Spread, x.Types = true, []string{"cask"} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			meet(t, 4500, 6, func(t *testing.T, k, controllers int, seed uint64) {
+				types := fake.Types()
+				types[0].Zones = []string{"a", "b", "c"}
+				types = append(types, types[0])
+				types[2].Name, types[2].Zones = "cask", []string{"a", "b"}
+				s := &story{World: fake.Build(seed, fake.Settings(controllers), types), t: t}
+				s.Run(3 * second)
+				for _, z := range []string{"a", "b", "c"} {
+					for _, typ := range []string{"box", "cask", "box"} {
+						if typ == "box" || z != "c" {
+							s.Cloud.Add(typ, z, true)
+						}
+					}
+				}
+				s.Run(s.Now + 5*second)
+				spec := fake.Array(7)
+				change(&spec)
+				j := s.Users.Submit(spec, 20)
+				s.within(30*second, "some tasks run", func() bool { return j.Running() > 2 })
+				if k%3 == 1 { // somebody reads the state service late
+					s.Link("state", s.Nodes[k%controllers].Label, fake.Link{Delay: 2 * second})
+				}
+				at := slices.IndexFunc([]int{0, 1, 2, 3, 4, 5, 6}, func(i int) bool { return s.Workers[j.On((i+k)%7)] != nil })
+				lost := s.Workers[j.On((at+k)%7)].Info.Zone
+				for _, m := range s.SomeWorkers(64) {
+					if m.Info.Zone == lost {
+						s.Cloud.Remove(m.Info.Name)
+					}
+				}
+				for _, typ := range []string{"box", "cask", "barn"} {
+					s.Cloud.Capacity[typ+" "+lost] = 0
+				}
+				if k%3 == 2 {
+					s.After(18*second, func() { s.ends(second / 5) })
+				}
+				s.within(100*second, "all its tasks have started", func() bool {
+					return j.Running()+s.Users.Done(j) == 7
+				})
+				s.Users.Calm = s.Now
+				if spec.Kind == wire.KindService {
+					s.Run(s.Now + 60*second)
+					s.Users.Abort(j)
+				}
+				s.within(150*second, "it is over", s.Users.AllTold)
+			})
+		})
+	}
+}
--- a/internal/core/tell.go
+++ b/internal/core/tell.go
@@ -47,7 +47,8 @@
 	for _, d := range m.Dispatch {
 		ref, index, err := wire.ParseTask(d.Task)
 		j := c.ledger.accepted(ref)
-		if err != nil || j == nil || j.final() || j.isDone(index) {
+		// A record older than the leader's may name zones that hold no longer.
+		if err != nil || j == nil || j.final() || j.isDone(index) || j.version < d.Version {
 			p.returned = append(p.returned, wire.TaskTry{Task: d.Task, Attempt: d.Attempt})
 			continue
 		}
--- a/internal/core/worlds_test.go
+++ b/internal/core/worlds_test.go
@@ -37,9 +37,13 @@
 		d.fill(rt, s)
 		d.upgrade(rt, s)
 		d.work(rt, s)
+		s.Users.CloseLooks = rapid.IntRange(0, 3).Draw(rt, "close looks") == 3
+		s.Cloud.AtOnce = rapid.IntRange(0, 3).Draw(rt, "boots at once") == 3
+		var pile []string
 		for range rapid.IntRange(0, 7).Draw(rt, "troubles") {
-			d.trouble(rt, s)
+			pile = append(pile, d.trouble(rt, s))
 		}
+		drawn.add(pile)
 		s.Run(d.over)
 		s.Loss, s.State.LateShare, s.Users.Calm = 0, 0, s.Now
 		s.rules()
@@ -65,6 +69,36 @@
 			rt.Fatalf("not over within %v: %s\n%s", in, d.open(s), s.lastLogs(*logLines))
 		}
 	})
+	t.Log(drawn.String())
+}
+
+// meetings counts how often two troubles were drawn for one world, so that what was never tried
+// is seen.
+type meetings map[[2]string]int
+
+var drawn = meetings{}
+
+func (m meetings) add(pile []string) {
+	slices.Sort(pile)
+	for i, a := range pile {
+		for _, b := range pile[i+1:] {
+			m[[2]string{a, b}]++
+		}
+	}
+}
+
+func (m meetings) String() string {
+	var never []string
+	total := 0
+	for i, a := range troubles {
+		for _, b := range troubles[i:] {
+			if total++; m[[2]string{a, b}] == 0 {
+				never = append(never, a+" + "+b)
+			}
+		}
+	}
+	return fmt.Sprintf("%d of %d meetings of two troubles were drawn; among those that were not: %s",
+		total-len(never), total, strings.Join(never[:min(len(never), 5)], ", "))
 }
 
 // deployment is what was drawn.
@@ -311,8 +345,8 @@
 	}
 }
 
-// trouble draws one trouble.
-func (d *deployment) trouble(rt *rapid.T, s *story) {
+// trouble draws one trouble and returns its name.
+func (d *deployment) trouble(rt *rapid.T, s *story) string {
 	at := seconds(rt, "at", 2, 100)
 	span := seconds(rt, "for", 1, 60)
 	d.over = max(d.over, at+span+second)
@@ -362,7 +396,78 @@
 			}
 		})
 	}
-	switch rapid.SampledFrom(troubles).Draw(rt, "trouble") {
+	what := rapid.SampledFrom(troubles).Draw(rt, "trouble")
+	switch what {
+	case "answers lost":
+		share := between(rt, "share", 0.1, 0.7)
+		during(func() { s.State.LateShare, s.State.LateBy = share, 0 }, func() { s.State.LateShare, s.State.LateBy = 0.02, 12*second })
+	case "reports kept for the next leader":
+		during(func() { s.KeepReports = true }, func() { s.KeepReports = false })
+		s.At(at+span+time.Duration(some)*second/12, func() { s.ends(second / 5) })
+	case "machines mute":
+		workers(func(k *fake.Worker) {
+			k.Mute = true
+			s.After(span, func() { k.Mute = false })
+		})
+	case "cancelled at the end":
+		during(func() { s.Users.AtEnd = 0.4 }, func() { s.Users.AtEnd = 0 })
+	case "cancelled as machines hang":
+		hang := seconds(rt, "hang", 0.5, 1.5*d.lease().Seconds())
+		back := back(rt)
+		s.At(at, func() {
+			for _, j := range d.jobs {
+				for i := 0; i < j.Spec.Tasks && some > 0; i++ {
+					if k := s.Workers[j.On(i)]; k != nil && !k.Hung {
+						some--
+						k.Hung = true
+						s.After(hang, func() { k.Hung = false })
+					}
+				}
+			}
+			d.cancel(s, 6)
+		})
+		s.At(at+back/4, func() { s.ends(back) })
+	case "cancelled as the leader is refused":
+		s.At(at, func() {
+			if n := s.leads(); n != nil {
+				s.State.Refuses[n.Label] = true
+				s.After(span, func() { delete(s.State.Refuses, n.Label) })
+			}
+			d.cancel(s, some)
+		})
+		if keep {
+			s.At(at+second, func() { s.State.Outage(span) })
+		}
+	case "cancelled while work changes hands":
+		back := back(rt)
+		s.At(at, func() { n.Crash(back) })
+		for k := range 6 {
+			s.At(at+time.Duration(k)*d.lease()/8, func() { d.cancel(s, 1) })
+		}
+	case "odd requests":
+		for k := range 8 {
+			s.At(at+time.Duration(k)*span/8, func() { d.odd(s, k) })
+		}
+	case "reports held back":
+		s.At(at, func() {
+			for _, k := range s.SomeWorkers(some) {
+				for _, n := range s.Nodes {
+					s.Link(k.Info.Name, n.Label, fake.Held)
+					s.After(span, func() { s.Link(k.Info.Name, n.Label, fake.Link{}) })
+				}
+			}
+		})
+		s.At(at+second, func() { s.ends(second / 5) })
+	case "all away":
+		for _, n := range s.Nodes {
+			s.At(at, func() { n.Crash(d.lease() + span/4) })
+		}
+		d.over = max(d.over, at+d.lease()+span/4+second)
+	case "ten leaders":
+		for k := range 10 {
+			s.At(at+time.Duration(k)*12*second, func() { s.ends(second / 5) })
+		}
+		d.over = max(d.over, at+110*second)
 	case "crash":
 		back := back(rt)
 		s.At(at, func() { n.Crash(back) })
@@ -513,10 +618,37 @@
 			}
 		})
 	}
+	return what
+}
+
+// odd has users hand in again what is not over, cancel what is done, and send what can't run.
+func (d *deployment) odd(s *story, k int) {
+	spec := fake.Array(1)
+	spec.Team = "nobody"
+	if teams := d.set.Site.Teams; len(teams) > 0 {
+		spec.Team = teams[k%len(teams)].Name
+	}
+	switch k % 2 {
+	case 0:
+		spec.CPUs = 4096
+	case 1:
+		spec.Types = []string{"no such type"}
+	}
+	s.Users.Never(spec)
+	for _, j := range d.jobs {
+		switch {
+		case j.Told == wire.JobDone:
+			s.Users.Abort(j)
+		case j.Accepted:
+			s.Users.Resubmit(j)
+		}
+	}
 }
 
 var troubles = slices.Sorted(slices.Values([]string{"crash", "two crash", "all crash", "roll",
 	"ends again and again", "leaders end", "copies", "no state", "no workers", "no network", "no cloud",
+	"answers lost", "reports kept for the next leader", "machines mute", "cancelled at the end", "cancelled as machines hang",
+	"cancelled as the leader is refused", "cancelled while work changes hands", "odd requests", "reports held back", "all away", "ten leaders",
 	"gap", "late writes", "leader cut from all but workers and users", "machines deaf", "commands held up",
 	"refused by the state", "state out", "state slow", "cloud out", "stands still", "peers refuse", "slow links", "links", "links again", "zone cut", "zones apart",
 	"machines die", "machines hang", "machines sick", "machines slow", "taken back", "no capacity", "polls", "burst"}))
--- a/internal/fake/waiting.go
+++ b/internal/fake/waiting.go
@@ -46,8 +46,9 @@
 	j.waits = since
 	for name, at := range since {
 		if u.w.Now-max(at, j.startedAt) > leftAfter {
-			u.w.broke("left_waiting", "%s of %d tasks is %s (%s) and %s has had room for it since %.3f", j.Spec.ID, j.Spec.Tasks,
-				j.Told, j.Answer.Reason, name, at.Seconds())
+			s, m := &j.Spec, u.w.Workers[name].Info
+			u.w.broke("left_waiting", "%s (%s, %d tasks of %g CPUs, zone %q, one zone %v, spread %v, spot %v) is %s (%s); %s (%s in %s, spot %v) has had room for it since %.3f",
+				s.ID, s.Kind, s.Tasks, s.CPUs, s.Zone, s.OneZone, s.Spread, s.Spot, j.Told, j.Answer.Reason, name, m.Type, m.Zone, m.Spot, at.Seconds())
 			j.startedAt = u.w.Now // said once
 			return
 		}
