Room is made and kept only in zones where the job may use it

Both looked at the job's description only, not at its chosen zones.

Change: both ask for the zones of the tasks that still wait. The story fails without it (the small jobs are not done within 40 s) and passes with it.

--- a/internal/core/piles_test.go
+++ b/internal/core/piles_test.go
@@ -813,3 +813,30 @@
 		})
 	}
 }
+
+// An urgent job of one zone that is full stops nothing in another zone, where it could not run,
+// and keeps no machine there from others.
+func TestNothingIsStoppedInAZoneThatIsOfNoUse(t *testing.T) {
+	for seed := range uint64(4) {
+		s := begin(t, 4600+seed)
+		s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = 0, 0
+		for _, z := range []string{"a", "a", "b"} {
+			s.Cloud.Add("box", z, true)
+		}
+		s.Run(s.Now + 4*second)
+		urgent := fake.Array(12)
+		urgent.Class, urgent.Urgency, urgent.OneZone, urgent.CPUs = "alerts", wire.UrgencyHigh, true, 4
+		first := s.Users.Submit(urgent, 40)
+		s.within(30*second, "it has its zone", func() bool { return first.Running() == 2 })
+		var small []*fake.Job
+		for range 8 {
+			spec := fake.Array(1)
+			spec.Urgency = wire.UrgencyLow
+			small = append(small, s.Users.Submit(spec, 6))
+		}
+		s.within(40*second, "the other zone serves the rest", told(wire.JobDone, small...))
+		if s.said("stopping tasks") {
+			t.Fatalf("tasks were stopped in vain\n%s", s.lastLogs(*logLines))
+		}
+	}
+}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -37,8 +37,9 @@
 		need = 1 // the rest of it would only fail
 	}
 	rooms := map[*planned]*making{}
+	mayUse := q.usable()
 	usable := func(v *victim) bool {
-		return mayUse(s, v.m.typ, v.m.zone, v.m.spot) && o.yields(v.f.job, q)
+		return mayUse(v.m.typ, v.m.zone, v.m.spot) && o.yields(v.f.job, q)
 	}
 	room := func(v *victim) *making {
 		if rooms[v.m] == nil {
--- a/internal/core/turns.go
+++ b/internal/core/turns.go
@@ -176,8 +176,9 @@
 	p.turns++
 	s := &q.j.rec.Spec
 	var usable []*planned
+	mayUse := q.usable()
 	for _, m := range p.rooms {
-		if mayUse(s, m.typ, m.zone, m.spot) && !m.kept && o.emptied(m).fits(s) {
+		if mayUse(m.typ, m.zone, m.spot) && !m.kept && o.emptied(m).fits(s) {
 			usable = append(usable, m)
 		}
 	}
