A guest may have what the others have left idle for two leases

Ruled out: letting a guest's job go on after it has waited for two leases, which on a busy site gives it every gap and, with long tasks, all machines, what the guard is there for.

Change: what is left on machines that were given nothing for two leases is the guests' too. The story fails without it (nothing starts within 45 s).

--- a/internal/core/flight.go
+++ b/internal/core/flight.go
@@ -45,6 +45,7 @@
 	closing    bool    // as its part was told
 	closingAt  time.Duration
 	emptyAt    time.Duration
+	takenAt    time.Duration // when it was given a task last
 	upAt       time.Duration
 	doubtAt    time.Duration   // since when its list is not to be trusted, if it is not
 	errors     map[string]bool // jobs that failed here since the last success
@@ -62,9 +63,10 @@
 }
 
 // take and give follow which flights a machine has a claim on.
-func (v *rigView) take(name string, f *flight) {
+func (v *rigView) take(name string, f *flight, now time.Duration) {
 	if v.tasks[name] != f {
 		v.give(name)
+		v.takenAt = now
 		v.tasks[name] = f
 		v.taken.add(&f.job.j.rec.Spec, 1)
 	}
@@ -83,7 +85,7 @@
 func (o *orchestrator) view(name string) *rigView {
 	v := o.rigs.get(name)
 	if v == nil {
-		v = &rigView{tasks: map[string]*flight{}, errors: map[string]bool{}, emptyAt: o.c.now.Steady, upAt: -1, doubtAt: o.c.now.Steady}
+		v = &rigView{tasks: map[string]*flight{}, errors: map[string]bool{}, emptyAt: o.c.now.Steady, takenAt: o.c.now.Steady, upAt: -1, doubtAt: o.c.now.Steady}
 		v.leaving = o.c.fleet.leaving(name)
 		if rec := o.c.ledger.machines.get(name); rec != nil {
 			v.registered = true
--- a/internal/core/pictures.go
+++ b/internal/core/pictures.go
@@ -285,7 +285,7 @@
 	// it: an old list of a dead machine once hid the machine that really ran it,
 	// and the task was started again when the dead one was deleted.
 	f.claims[s.Name] = true
-	v.take(t.Task, f)
+	v.take(t.Task, f, o.c.now.Steady)
 	if f.attempt != t.Attempt {
 		if other := o.rigs.get(f.machine); f.open || !s.Sure || other != nil && other.state.Sure && f.machine != s.Name {
 			return
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -112,10 +112,16 @@
 // Guards against long tasks of a guest that fill every machine in a quiet moment:
 // with an inflow of 2,600 CPUs of reports they once held 5,000 of 6,000 CPUs for
 // minutes, and a team did not even get its guarantee.
+//
+// What is left on machines that were given nothing for two leases the others do not need
+// either. Guards against a guest that waits beside idle machines after a burst of theirs.
 func (o *orchestrator) leave(p *plan) {
-	var all float64
+	var all, idle float64
 	for _, m := range p.rooms {
 		all += m.view.mt.CPUs
+		if o.c.now.Steady-m.view.takenAt >= 2*o.c.times.lease {
+			idle += m.cpus
+		}
 	}
 	// Less than a CPU is nothing: what is left of an inflow that ended long ago once kept
 	// a gang that needs every machine from starting, for a millionth of a CPU.
@@ -129,4 +135,5 @@
 			p.guests += own.cpus
 		}
 	}
+	p.spare = max(p.spare, p.guests+idle)
 }
--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -914,6 +914,22 @@
 	s.within(600*second, "every job is done", s.Users.AllTold)
 }
 
+// What the others have left idle for two leases a guest may have, however much of their work
+// came in before.
+func TestGuestTakesWhatIsLeftIdle(t *testing.T) {
+	s := begin(t, 39)
+	s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = 0, 1
+	burst := fake.Array(800)
+	burst.EstimateS = 60 // or so it seems
+	s.Users.Submit(burst, 1)
+	s.within(200*second, "the others' work is done", s.Users.AllTold)
+	spec := fake.Array(3)
+	spec.Team, spec.CPUs = "guest", 4 // more than an eighth of the only machine
+	g := s.Users.Submit(spec, 10)
+	s.within(45*second, "the guest starts", func() bool { return g.Running() > 0 })
+	s.within(60*second, "it is done", s.Users.AllTold)
+}
+
 // Of two jobs of one name, the one with less left comes first.
 func TestSmallJobPassesLargeOneOfItsName(t *testing.T) {
 	s := begin(t, 36)
