A confirmed cancellation is passed on to the other controllers at once

Ruled out: holding the answer back until all have it (the users rule that out); taking the write into the mirror at once, which helps the writer's own machines only.

Change: who confirms a cancellation stops its own tasks, and tells its leader, which tells the members; they start none of it and stop what runs, as for a word of the vigil. No rule rests on it: versions that do not know the field pass it over, and a lost message changes nothing.

--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -727,6 +727,7 @@
 			switch {
 			case d.Status == 200:
 				l.cancelled.Note(ref, d.Answer.Revision)
+				l.c.outage.confirmed(ref)
 				l.c.emit(Reply{ID: id, Status: 200, Body: wire.JobAnswer{ID: ref, State: wire.JobCancelled, Done: j.doneN}})
 			case (d.Status == 409 || d.Status == 0) && tries < 3:
 				l.abort(id, ref, tries+1) // done came first, or the outcome is open: look again
--- a/internal/core/orchestrator.go
+++ b/internal/core/orchestrator.go
@@ -280,7 +280,7 @@
 	p := o.plan()
 	p.least = math.Inf(1)
 	for _, q := range ranked {
-		if q.waiting() > 0 {
+		if q.waiting() > 0 && !o.c.outage.cancelled(q.id) {
 			waiting = append(waiting, q)
 			p.least = min(p.least, q.j.rec.Spec.CPUs)
 		}
--- a/internal/core/outage.go
+++ b/internal/core/outage.go
@@ -119,8 +119,23 @@
 func (u *outage) cancel(jobs []string) {
 	for _, ref := range jobs {
 		if _, known := u.learnt[ref]; !known {
-			u.c.debugf("cancelled, as another controller has told", "job", ref)
+			u.c.debugf("cancelled, as was told", "job", ref)
+			u.c.part.hurryJob(ref)
 		}
 		u.learnt[ref] = u.c.now.Steady
 	}
 }
+
+// confirmed passes on that a user is told now that a job is cancelled: a member to its leader,
+// the leader to all members.
+//
+// Guards against starts that a machine takes after its user was told, for as long as another
+// controller's watch takes to bring the word. The rules rest on the mirrors.
+func (u *outage) confirmed(ref string) {
+	u.cancel([]string{ref})
+	if u.c.members.leading {
+		u.c.orch.passOn([]string{ref}, "")
+	} else {
+		u.c.part.confirmed = append(u.c.part.confirmed, ref)
+	}
+}
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -15,32 +15,33 @@
 
 // part owns the machines that the map gives this member.
 type part struct {
-	c        *Core
-	epoch    uint64
-	mine     bool // a member in this epoch
-	rigs     *index[*rig]
-	changed  []*rig        // their pictures are due to the leader
-	hurried  []*rig        // have commands that should not wait for a report
-	dropped  []string      // no longer looked after, to be told
-	tendAt   time.Duration // when every machine's clock is looked at again
-	touched  []*rig        // may have room now, or none any more
-	roomy    *index[*rig]  // take new tasks and have room left, but for what is touched
-	placeDue bool          // there may be room that assigned tasks have not been held against
-	placeAt  time.Duration
-	assigned []*placed               // dispatched, no room found yet
-	where    map[string]*index[*rig] // by job: machines that have or had its tasks
-	returned []wire.TaskTry
-	link     uint64 // to the leader, 0: none
-	linkName string
-	full     bool // the leader needs the whole picture
-	lastSent time.Duration
-	lastRead time.Duration
-	lastSeq  uint64 // of the leader's messages over the link
-	doID     uint64
-	fences   map[uint64]bool // the empty /do calls under way
-	toAsk    []*rig          // wait for one of these to end
-	fit      fitness
-	since    time.Duration // of this epoch
+	c         *Core
+	epoch     uint64
+	mine      bool // a member in this epoch
+	rigs      *index[*rig]
+	changed   []*rig        // their pictures are due to the leader
+	hurried   []*rig        // have commands that should not wait for a report
+	dropped   []string      // no longer looked after, to be told
+	tendAt    time.Duration // when every machine's clock is looked at again
+	touched   []*rig        // may have room now, or none any more
+	roomy     *index[*rig]  // take new tasks and have room left, but for what is touched
+	placeDue  bool          // there may be room that assigned tasks have not been held against
+	placeAt   time.Duration
+	assigned  []*placed               // dispatched, no room found yet
+	where     map[string]*index[*rig] // by job: machines that have or had its tasks
+	returned  []wire.TaskTry
+	confirmed []string // jobs of which this node has told a user that they are cancelled, to be passed on
+	link      uint64   // to the leader, 0: none
+	linkName  string
+	full      bool // the leader needs the whole picture
+	lastSent  time.Duration
+	lastRead  time.Duration
+	lastSeq   uint64 // of the leader's messages over the link
+	doID      uint64
+	fences    map[uint64]bool // the empty /do calls under way
+	toAsk     []*rig          // wait for one of these to end
+	fit       fitness
+	since     time.Duration // of this epoch
 }
 
 func newPart(c *Core) *part {
@@ -110,6 +111,17 @@
 	}
 }
 
+// hurryJob has the machines that may have a job's tasks told what to do at once.
+func (p *part) hurryJob(ref string) {
+	if was := p.where[ref]; was != nil {
+		for name, r := range was.all() {
+			if p.rigs.get(name) == r {
+				p.hurry(r)
+			}
+		}
+	}
+}
+
 // sendHurried sends what is urgent to the machines that can take it now.
 func (p *part) sendHurried() {
 	var later []*rig
--- a/internal/core/pictures.go
+++ b/internal/core/pictures.go
@@ -110,6 +110,10 @@
 	if !o.on {
 		return
 	}
+	if len(m.Cancelled) > 0 {
+		o.c.outage.cancel(m.Cancelled)
+		o.passOn(m.Cancelled, label)
+	}
 	o.follow()
 	if o.epoch == 0 || m.Epoch != o.epoch || o.c.members.speaksForAnother(label, p.boot) {
 		return
@@ -140,6 +144,15 @@
 	o.settle()
 }
 
+// passOn lets all members but one know of jobs that are cancelled.
+func (o *orchestrator) passOn(jobs []string, but string) {
+	for label, p := range o.parts {
+		if label != but && label != o.c.set.Label && p.session != 0 {
+			p.outbox.Cancelled, p.dirty = append(p.outbox.Cancelled, jobs...), true
+		}
+	}
+}
+
 // whole takes a piece of a part's whole picture. Once it has all of them it compares
 // the picture with what was dispatched to the part: what is neither on one of its
 // machines nor assigned there was lost with an earlier link and will never be read.
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -49,7 +49,7 @@
 		cmds = append(cmds, clears...)
 	}
 	for _, t := range r.tasks {
-		if t.phase != phaseQueued || !start {
+		if t.phase != phaseQueued || !start || p.c.outage.cancelled(t.ref) {
 			continue
 		}
 		t.token = r.token
@@ -119,7 +119,7 @@
 	waiting := p.assigned[:0]
 	for _, t := range p.assigned {
 		j := c.ledger.accepted(t.ref)
-		if j == nil || j.final() {
+		if p.over(t.ref, j) {
 			p.giveBack(t)
 			continue
 		}
--- a/internal/core/tell.go
+++ b/internal/core/tell.go
@@ -40,6 +40,7 @@
 			j.view = v
 		}
 	}
+	c.outage.cancel(m.Cancelled)
 	if m.Epoch != p.epoch || !p.mine {
 		return
 	}
@@ -48,7 +49,7 @@
 		ref, index, err := wire.ParseTask(d.Task)
 		j := c.ledger.accepted(ref)
 		// A record older than the leader's may name zones that hold no longer.
-		if err != nil || j == nil || j.final() || j.isDone(index) || j.version < d.Version {
+		if err != nil || p.over(ref, j) || j.isDone(index) || j.version < d.Version {
 			p.returned = append(p.returned, wire.TaskTry{Task: d.Task, Attempt: d.Attempt})
 			continue
 		}
@@ -104,6 +105,7 @@
 func (p *part) flush() {
 	c := p.c
 	if p.link == 0 {
+		p.confirmed = nil // nobody is there to pass it on
 		return
 	}
 	if p.link != selfLink && c.now.Steady-p.lastRead > 2*c.times.report+c.times.round {
@@ -140,12 +142,12 @@
 		}
 	}
 	p.changed, p.dropped = p.changed[:0], nil
-	m.Returned = p.returned
-	idle := !full && len(m.Machines) == 0 && len(m.Returned) == 0 && len(m.Dropped) == 0
+	m.Returned, m.Cancelled = p.returned, p.confirmed
+	idle := !full && len(m.Cancelled) == 0 && len(m.Machines) == 0 && len(m.Returned) == 0 && len(m.Dropped) == 0
 	if idle && c.now.Steady-p.lastSent < c.times.round {
 		return
 	}
-	p.full, p.returned = p.full && !full, nil
+	p.full, p.returned, p.confirmed = p.full && !full, nil, nil
 	p.lastSent = c.now.Steady
 	if p.link == selfLink {
 		c.loop = append(c.loop, func() { c.orch.fromPart(selfLink, &m) })
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -20,6 +20,9 @@
 	Dropped  []string       `json:"dropped,omitempty"`  // machines it no longer looks after
 	Unfit    bool           `json:"unfit,omitempty"`    // reaches no worker
 	Word     *vigil.Word    `json:"word,omitempty"`     // alone in its message
+	// Cancelled names jobs of which a user is told now that they are, so that nothing more of
+	// them is started before the mirrors say so. No rule rests on its arrival.
+	Cancelled []string `json:"cancelled,omitempty"`
 
 	Dispatch []TaskTry  `json:"dispatch,omitempty"`
 	Stop     []TaskStop `json:"stop,omitempty"`
