Copies of a machine's reports are not taken for hearing it, nor for answers that renew its lease

Every report of a machine, however old, counted as having heard it, and its answer as one that may have renewed the worker's lease; so a machine that had died kept its tasks for as long as copies of its reports came, and a lease more.

Ruled out: believing only what is newer than anything heard: a worker's answer to a /do may overtake the report that it waits for, whose answer does renew the lease.

Change: a report counts if it is newer than the newest report heard of that machine. A worker sends the next only when it no longer waits for the last, and counts its lease from the sending, so an older one, or the same once more, renews nothing. The story fails without it.

--- a/internal/core/piles_test.go
+++ b/internal/core/piles_test.go
@@ -840,3 +840,21 @@
 		}
 	}
 }
+
+// A machine dies, and copies of its reports go on arriving: they neither keep its tasks from
+// being started elsewhere after its lease, nor count as hearing it.
+func TestCopiesDoNotKeepADeadMachine(t *testing.T) {
+	for seed := range uint64(4) {
+		s := begin(t, 4700+seed)
+		s.boxes(8)
+		s.Copies, s.CopyBy = 1, 60*second
+		j := s.Users.Submit(fake.Array(16), 300)
+		s.Run(s.Now + 60*second)
+		s.Cloud.Out = true // or it would be deleted, which settles it
+		s.Cloud.Remove(s.Workers[j.On(0)].Info.Name)
+		s.Copies = 0
+		s.within(config.Seconds(s.Set.Site.Workers.LeaseS+2*s.Set.Site.Workers.ReportS), "its tasks are known to be lost", func() bool {
+			return s.said("machine is silent, its tasks are lost")
+		})
+	}
+}
--- a/internal/core/placed.go
+++ b/internal/core/placed.go
@@ -48,11 +48,12 @@
 	spot                  bool
 	mt                    *wire.MachineType
 
-	session, seq   uint64 // newest message seen
-	token          uint64 // ours for this machine
-	base           uint64 // the first that is: what it lists with this or a later one is believed
-	trusted        bool   // the newest message carried one of them
-	kept           bool   // it was trusted in the last epoch, and ours then too
+	session, seq   uint64                        // newest message seen
+	reported       struct{ session, seq uint64 } // newest of them that was a report
+	token          uint64                        // ours for this machine
+	base           uint64                        // the first that is: what it lists with this or a later one is believed
+	trusted        bool                          // the newest message carried one of them
+	kept           bool                          // it was trusted in the last epoch, and ours then too
 	answered       time.Duration
 	answeredBefore time.Duration // until when it may have been answered before this epoch was ours
 	fenced         bool          // it has shown a token of this epoch
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -5,7 +5,17 @@
 // report takes a worker's report and answers it.
 func (p *part) report(id RequestID, rep *wire.Report) {
 	c := p.c
-	p.fit.contact = c.now.Steady
+	r := p.rigs.get(rep.Machine)
+	// A worker sends its next report only when nobody waits for the answer to this one any
+	// more, and counts its lease from when it was sent: an older or the same report once more
+	// renews nothing, and says nothing of how the machine is now.
+	//
+	// Guards against copies of a dead machine's reports, each of which had its tasks waited for
+	// for another lease.
+	fresh := r == nil || rep.Newer(r.reported.session, r.reported.seq)
+	if fresh {
+		p.fit.contact = c.now.Steady
+	}
 	if c.ledger.ready {
 		if e := c.members.epoch(); e != p.epoch {
 			p.newEpoch(e)
@@ -20,8 +30,7 @@
 		c.emit(Reply{ID: id, Status: 421, Body: wire.Redirect{ReportTo: owner}})
 		return
 	}
-	r := p.rigs.get(rep.Machine)
-	if r == nil {
+	if r = p.rigs.get(rep.Machine); r == nil {
 		r = p.newRig(rep.Machine)
 		r.addr, r.typ, r.zone, r.spot = rep.Addr, rep.Type, rep.Zone, rep.Spot
 		r.mt = c.types()[r.typ]
@@ -33,10 +42,13 @@
 		return
 	}
 	newest := rep.Newer(r.session, r.seq)
-	r.heard, r.unanswered = c.now.Steady, 0
-	if r.silent {
-		r.silent = false
-		p.mark(r)
+	if fresh {
+		r.reported.session, r.reported.seq = rep.Session, rep.Seq
+		r.heard, r.unanswered = c.now.Steady, 0
+		if r.silent {
+			r.silent = false
+			p.mark(r)
+		}
 	}
 	if newest {
 		p.read(r, rep, 0, true)
@@ -44,7 +56,9 @@
 			p.lapse(r)
 		}
 	}
-	r.answered = max(r.answered, c.now.Steady)
+	if fresh {
+		r.answered = max(r.answered, c.now.Steady)
+	}
 	var ans wire.ReportAnswer
 	if newest && r.trusted {
 		if entitled {
