A job is refused for good only once no node can have accepted it

A submission that can't run was refused with 422 by the node's own mirror. One that repeats an accepted job, changed so that it could not run, got 422 from a node whose mirror was half a second older, where the job's state is the answer.

Ruled out, for the same submission twice: the types and the teams that it is judged by are the same on every node that judges at all, and what it needs is looked for behind a barrier already.

Change: the refusal waits for the mirror to be read, like any answer that is not final; where it can't be, 503.

--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -599,7 +599,7 @@
 		return
 	}
 	if why := l.impossible(&spec); why != "" {
-		l.c.emit(Reply{ID: id, Status: 422, Body: wire.ErrorAnswer{Error: why}})
+		l.refuse(id, spec.ID, why)
 		return
 	}
 	rec := wire.JobRecord{Spec: spec, State: wire.JobQueued, At: l.c.now.Wall}
@@ -610,6 +610,22 @@
 	l.accept(id, rec, false)
 }
 
+// refuse answers that a job can never run, once no node can have accepted one of its name.
+//
+// Guards against a refusal of what another node has accepted, by a mirror that is older.
+func (l *ledger) refuse(id RequestID, ref, why string) {
+	l.barrier(func(ok bool) {
+		switch {
+		case !ok:
+			l.later(id, "the state service does not answer")
+		case l.accepted(ref) != nil:
+			l.answer(id, 200, l.accepted(ref))
+		default:
+			l.c.emit(Reply{ID: id, Status: 422, Body: wire.ErrorAnswer{Error: why}})
+		}
+	})
+}
+
 // freeGuards hold as long as nobody has accepted a job. Whoever names jobs that it needs
 // may be kept below either prefix, as those were over or not when it was looked at.
 func freeGuards(id string, needy bool) []wire.Guard {
--- a/internal/core/piles_test.go
+++ b/internal/core/piles_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chalkhub/chalkhub/internal/config"
+	"github.com/chalkhub/chalkhub/internal/core"
 	"github.com/chalkhub/chalkhub/internal/fake"
 	"github.com/chalkhub/chalkhub/internal/wire"
 )
@@ -858,3 +859,31 @@
 		})
 	}
 }
+
+// A job is accepted at one node and comes again, changed so that it could not run, at all
+// nodes, of which one reads late: each answers by the job's state.
+func TestAcceptedIsNotRefusedByAnOlderMirror(t *testing.T) {
+	for seed := range uint64(3) {
+		s := begin(t, 4800+seed)
+		slow := s.follower()
+		s.Link("state", slow.Label, fake.Link{Delay: 6 * second / 10})
+		s.Run(s.Now + 5*second)
+		s.Users.Only = s.leader()
+		j := s.Users.Submit(fake.Array(2), 15)
+		s.within(10*second, "it is accepted", func() bool { return j.Accepted })
+		s.Users.Only = nil
+		again, answers := j.Spec, map[string]int{}
+		again.CPUs = 4096
+		for _, n := range s.Nodes {
+			n.Ask(func(id core.RequestID) core.Command { return core.Submit{ID: id, Job: again} }, func(r core.Reply) { answers[n.Label] = r.Status })
+		}
+		s.Run(s.Now + 5*second)
+		for _, n := range s.Nodes {
+			if got := answers[n.Label]; got != 200 && (got != 503 || n != slow) {
+				t.Fatalf("%s answers %d", n.Label, got)
+			}
+		}
+		s.Link("state", slow.Label, fake.Link{})
+		s.within(60*second, "it is done", s.Users.AllTold)
+	}
+}
