The check of jobs left waiting counts a gang's room by zone, and machines wrongly in quarantine

Room is counted by zone now. Stricter the other way: a machine on which only mistaken jobs have failed counts as room, in quarantine or not.

--- a/internal/fake/waiting.go
+++ b/internal/fake/waiting.go
@@ -13,34 +13,34 @@
 // checkWaiting looks whether a job waits for nothing; its user's polls call it. How what is
 // not a plain array is judged:
 //
-//   - A gang needs room for all of its tasks at once, so it waits for something unless the
-//     machines that could take one task could take all.
+//   - A gang needs room for all of its tasks at once, within its zones' rule, so it waits for
+//     something unless the machines that could take one task could take all.
 //   - A job that keeps its tasks in one zone, or spreads them, may use the zones that its
 //     other tasks on machines at that moment leave it.
 //   - A job that needs others waits for them until they are done.
-//   - A machine on which some task has failed may be in quarantine, one that hangs, is
-//     faulty or will be taken back takes nothing, and a job that fails everywhere waits for
-//     its next try: none of these count.
+//   - A machine that was faulty may be in quarantine, one that hangs or will be taken back
+//     takes nothing, and a job that fails everywhere waits for its next try: none of these
+//     count. A machine that is in quarantine for such a job's sake does.
 func (u *Users) checkWaiting(j *Job) {
 	if u.Calm == 0 || u.w.Now < u.Calm || !u.couldStart(j) {
 		j.waits = nil
 		return
 	}
 	since := map[string]time.Duration{}
-	room := 0
+	room := map[string]int{} // tasks, by zone
 	for name, k := range u.w.Workers {
 		n := k.takes(&j.Spec)
 		if n == 0 || !u.placeAllows(j, k.Info.Zone) {
 			continue
 		}
-		room += n
+		room[k.Info.Zone] += n
 		if at, ok := j.waits[name]; ok && k.tookAt < at {
 			since[name] = at
 		} else {
 			since[name] = u.w.Now
 		}
 	}
-	if j.Spec.Kind == wire.KindGang && room < j.Spec.Tasks {
+	if j.Spec.Kind == wire.KindGang && !holdsAll(&j.Spec, room) {
 		since = nil
 	}
 	j.waits = since
@@ -55,6 +55,18 @@
 	}
 }
 
+// holdsAll reports whether all tasks of a gang find room at once, so many in each zone.
+func holdsAll(s *wire.Job, room map[string]int) bool {
+	most, all := 0, 0
+	for _, n := range room {
+		if s.Spread {
+			n = min(n, (s.Tasks+1)/2)
+		}
+		most, all = max(most, n), all+n
+	}
+	return most >= s.Tasks || all >= s.Tasks && !s.OneZone
+}
+
 // couldStart reports whether a job has a task that may start now, as far as its team and the
 // jobs that it needs go.
 func (u *Users) couldStart(j *Job) bool {
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -31,7 +31,7 @@
 	timer   uint64
 	NoticeS *float64
 	tookAt  time.Duration // when it took a task last
-	failed  bool          // a task has failed here
+	failed  bool          // a task has failed here that would not have elsewhere
 }
 
 // Task is an attempt on a machine.
@@ -352,7 +352,7 @@
 		t.job.saved[t.index] += ran
 	}
 	t.State, t.Why = wire.TaskExited, why
-	k.failed = k.failed || why == wire.WhyError
+	k.failed = k.failed || why == wire.WhyError && !t.job.Mistaken
 	if why == wire.WhyDone && t.job != nil && !t.job.done[t.index] {
 		t.job.done[t.index] = true
 		if len(t.job.done) == t.job.Spec.Tasks {
