--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -489,7 +489,8 @@
 	return ""
 }
 
-// watchLeader hands the kept reports out, in any order, once another process leads.
+// watchLeader hands the kept reports out, in any order, once another process leads, and again
+// and again while it takes over: until a map is its own nobody reads a report.
 func (w *World) watchLeader() {
 	now := w.leads()
 	if now == "" || now == w.leader {
@@ -500,9 +501,11 @@
 	w.kept = map[string]wire.Report{}
 	for _, name := range slices.Sorted(maps.Keys(kept)) {
 		for _, n := range w.Nodes {
-			w.After(w.delay(), func() {
-				n.Ask(func(id core.RequestID) core.Command { return core.WorkerReport{ID: id, Report: kept[name]} }, func(core.Reply) {})
-			})
+			for _, after := range []time.Duration{0, 60, 130, 250, 500, 1000, 2000} {
+				w.After(after*time.Millisecond+w.delay(), func() {
+					n.Ask(func(id core.RequestID) core.Command { return core.WorkerReport{ID: id, Report: kept[name]} }, func(core.Reply) {})
+				})
+			}
 		}
 	}
 }
