--- a/internal/core/piles_test.go
+++ b/internal/core/piles_test.go
@@ -41,6 +41,20 @@
 	}
 }
 
+// full begins a story with twelve machines that are full: team red at its limit, a job that goes
+// on for a minute, and one that is to be cancelled.
+func full(t *testing.T, seed uint64, controllers int) (s *story, gone *fake.Job) {
+	s = site(t, seed, controllers, nil)
+	s.boxes(12)
+	spec := fake.Array(24)
+	spec.Team = "red"
+	s.Users.Submit(spec, 40)
+	s.Users.Submit(fake.Array(8), 60)
+	gone = s.Users.Submit(fake.Array(16), 200)
+	s.within(60*second, "all tasks run", func() bool { return s.Users.Running() == 48 })
+	return
+}
+
 // calm ends a story: no trouble is left, every user hears how its job ended, and nobody waits
 // for nothing.
 func (s *story) calm(d time.Duration) {
@@ -648,14 +662,7 @@
 // tasks were given up or kept; its own next ones follow.
 func TestReportsHeldBackUntilALeaderHasActed(t *testing.T) {
 	meet(t, 4100, 6, func(t *testing.T, k, controllers int, seed uint64) {
-		s := site(t, seed, controllers, nil)
-		s.boxes(12)
-		spec := fake.Array(24)
-		spec.Team = "red"
-		s.Users.Submit(spec, 40)
-		s.Users.Submit(fake.Array(8), 60)
-		gone := s.Users.Submit(fake.Array(16), 200)
-		s.within(60*second, "all tasks run", func() bool { return s.Users.Running() == 48 })
+		s, gone := full(t, seed, controllers)
 		held := s.SomeWorkers(9)
 		for _, k := range held {
 			for _, n := range s.Nodes {
@@ -723,14 +730,7 @@
 // is started again once, each team within its limit, and what was cancelled just before stays so.
 func TestAllAwayForLongerThanALease(t *testing.T) {
 	meet(t, 4300, 4, func(t *testing.T, k, controllers int, seed uint64) {
-		s := site(t, seed, controllers, nil)
-		s.boxes(12)
-		spec := fake.Array(24)
-		spec.Team = "red"
-		s.Users.Submit(spec, 40)
-		s.Users.Submit(fake.Array(8), 60)
-		gone := s.Users.Submit(fake.Array(16), 200)
-		s.within(60*second, "all tasks run", func() bool { return s.Users.Running() == 48 })
+		s, gone := full(t, seed, controllers)
 		s.Users.Abort(gone)
 		s.Until(s.Now+2*second, told(wire.JobCancelled, gone))
 		away := time.Duration(8+6*k) * second // up to well over the lease
