A move of a job of one zone that is carried out late starts nothing beside its other tasks

Ruled out: holding the job until the write is answered: it may be carried out after that as well, also after the leader has read everything anew.

Change: a job of one zone starts nothing while a task of it may be in another zone than its record names, or on its way under an earlier version of it; and a part places by the very version that the leader went by, no older and no newer one. A spread job's halves need no more: a zone that one half may be in is never the other's.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -281,6 +281,10 @@
 		q.reason = "waits until every machine has been seen after a change of leader"
 		return false
 	}
+	if !o.together(q) {
+		q.reason = "waits until its tasks in another zone have ended"
+		return false
+	}
 	if (s.OneZone || s.Spread) && len(q.j.rec.Zones) == 0 {
 		o.chooseZones(q, p.rooms)
 		q.reason = "waits for its zone to be chosen"
@@ -314,7 +318,7 @@
 	delete(q.hold, i)
 	try := wire.TaskTry{Task: name, Attempt: f.attempt}
 	if s.OneZone || s.Spread {
-		try.Version = q.j.version
+		try.Version, f.version = q.j.key, q.j.key
 		delete(q.dry, slot(q, i))
 	}
 	if hold {
--- a/internal/core/flight.go
+++ b/internal/core/flight.go
@@ -19,6 +19,7 @@
 	machine  string          // where it is, as far as is known
 	claims   map[string]bool // every machine that lists it, surely or perhaps
 	open     bool            // dispatched, the part has not told where to
+	version  uint64          // of the job's record that its dispatch rests on
 	guess    string          // where the plan saw room for it
 	part     string
 	session  uint64 // the link that its dispatch went over
--- a/internal/core/piles_test.go
+++ b/internal/core/piles_test.go
@@ -866,6 +866,33 @@
 	})
 }
 
+// The move of a job of one zone to another is carried out late, when its own zone has had
+// machines again and its tasks run there, and more wait: those stay with them.
+func TestLateMoveOfAJobOfOneZone(t *testing.T) {
+	meet(t, 4580, 6, func(t *testing.T, k, controllers int, seed uint64) {
+		s := site(t, seed, controllers, nil)
+		s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = 0, 0
+		first := s.Cloud.Add("box", "a", true)
+		s.Run(s.Now + 4*second)
+		spec := fake.Array(12)
+		spec.OneZone = true
+		j := s.Users.Submit(spec, 40)
+		s.within(30*second, "its tasks run", func() bool { return j.Running() == 4 })
+		s.Cloud.Remove(first)
+		s.Cloud.Add("box", "b", true)
+		s.State.LateOnly, s.State.LateShare, s.State.LateFrom, s.State.LateBy = "c/job/", 1, 6*second, time.Duration(8+k)*second
+		s.within(90*second, "it is to move", func() bool { return s.said("move to another zone") })
+		s.Cloud.Add("box", "a", true)
+		s.Run(s.Now + 5*second)
+		s.State.LateShare = 0
+		if k%2 == 1 { // and the leader reads everything anew
+			s.State.Forgot[s.leader().Label] = true
+		}
+		s.Run(s.Now + 20*second)
+		s.calm(400 * second)
+	})
+}
+
 // An urgent job of one zone that is full stops nothing in another zone, where it could not run,
 // and keeps no machine there from others.
 func TestNothingIsStoppedInAZoneThatIsOfNoUse(t *testing.T) {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -123,8 +123,14 @@
 			p.giveBack(t)
 			continue
 		}
+		// Where its zones matter it goes by the record that the leader went by: one that is
+		// older has yet to come, and by one that is newer the leader decides anew.
+		if t.version != 0 && j.key > t.version {
+			p.giveBack(t)
+			continue
+		}
 		var best *rig
-		if !full[t.ref] {
+		if !full[t.ref] && (t.version == 0 || j.key == t.version) {
 			for _, r := range open {
 				m := r.room()
 				if m.fits(t.spec) && mayRun(&j.rec, t.index, r.typ, r.zone, r.spot) && r.avoid[t.ref] <= c.now.Steady &&
@@ -158,9 +164,9 @@
 }
 
 // holdRoom keeps room on a machine for a task of a gang.
-func (p *part) holdRoom(machine string, t *placed, rec *wire.JobRecord) bool {
+func (p *part) holdRoom(machine string, t *placed, j *job) bool {
 	r := p.rigs.get(machine)
-	if r == nil || !r.open() || !mayRun(rec, t.index, r.typ, r.zone, r.spot) {
+	if r == nil || !r.open() || t.version != 0 && j.key != t.version || !mayRun(&j.rec, t.index, r.typ, r.zone, r.spot) {
 		return false
 	}
 	if !r.room().fits(t.spec) {
--- a/internal/core/placed.go
+++ b/internal/core/placed.go
@@ -23,6 +23,7 @@
 	ref     string
 	index   int
 	attempt uint64
+	version uint64 // of the job's record that its dispatch rests on, 0: it rests on none
 	phase   phase
 	doID    uint64 // of the /do that carried the start
 	token   uint64 // that the start was sent with
--- a/internal/core/tell.go
+++ b/internal/core/tell.go
@@ -48,17 +48,16 @@
 	for _, d := range m.Dispatch {
 		ref, index, err := wire.ParseTask(d.Task)
 		j := c.ledger.accepted(ref)
-		// A record older than the leader's may name zones that hold no longer.
-		if err != nil || p.over(ref, j) || j.isDone(index) || j.version < d.Version {
+		if err != nil || p.over(ref, j) || j.isDone(index) {
 			p.returned = append(p.returned, wire.TaskTry{Task: d.Task, Attempt: d.Attempt})
 			continue
 		}
-		t := &placed{task: d.Task, ref: ref, index: index, attempt: d.Attempt, spec: &j.rec.Spec}
+		t := &placed{task: d.Task, ref: ref, index: index, attempt: d.Attempt, version: d.Version, spec: &j.rec.Spec}
 		if d.Machine == "" {
 			t.since = c.now.Steady
 			p.assigned = append(p.assigned, t)
 			p.placeDue = true
-		} else if !p.holdRoom(d.Machine, t, &j.rec) {
+		} else if !p.holdRoom(d.Machine, t, j) {
 			p.giveBack(t)
 		}
 	}
--- a/internal/core/zoning.go
+++ b/internal/core/zoning.go
@@ -79,14 +79,36 @@
 	return func(typ, zone string, spot bool) bool { return zones[zone] && mayUse(s, typ, zone, spot) }
 }
 
+// together reports whether no task of a job of one zone can be in another than its record names.
+//
+// Guards against a move that is carried out late: the job's tasks ran in the former zone again,
+// and the next ones were started in the new one.
+func (o *orchestrator) together(q *queued) bool {
+	if !q.j.rec.Spec.OneZone || len(q.j.rec.Zones) != 1 {
+		return true
+	}
+	for _, f := range q.flights {
+		if f.open && f.version != q.j.key {
+			return false
+		}
+		for m := range f.claims {
+			if v := o.rigs.get(m); v == nil || v.state.Zone != q.j.rec.Zones[0] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // rezone ties the tasks that share a zone with task i to another one, once they have found no
 // room for a lease and another has some, or could get machines while theirs can't. It waits
 // until none of them can break the job's rule there: for a job of one zone until no task of it
 // can be anywhere, for a spread one until none of the other half can be in the new zone.
 //
 // Guards against waiting for ever for a zone without machines, beside machines that stand idle.
-// What is dispatched names the version of the record that it rests on, so that no part goes by
-// an older one; a version before Level 1 does not look at that, and nothing moves beside it.
+// What is dispatched names the version of the record that it rests on, and parts place nothing by
+// another one; a version before Level 1 does not look at that, and nothing moves beside it. The
+// write may be carried out late, when tasks run in the former zone again: see together.
 func (o *orchestrator) rezone(q *queued, i int) {
 	c, s, n := o.c, &q.j.rec.Spec, slot(q, i)
 	if len(q.j.rec.Zones) == 0 || s.Zone != "" || q.choosing || q.ending || q.writing || o.doubt {
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -86,7 +86,7 @@
 	Task    string `json:"task"`
 	Attempt uint64 `json:"try"`
 	Machine string `json:"machine,omitempty"`
-	// Version is that of the job's record that a dispatch rests on, for a job whose zones
+	// Version is that of the job's own key that a dispatch rests on, for a job whose zones
 	// matter; 0: it rests on none.
 	Version uint64 `json:"version,omitempty"`
 }
