A half of a spread job takes the other's zone only once that is durably done

What has completed and is not durable yet may be started again after a crash, and would be in its zone beside the half that has moved there. By reading; the guard on the other half's flights covers it only while the same leader lives.

--- a/internal/core/zoning.go
+++ b/internal/core/zoning.go
@@ -177,7 +177,7 @@
 	}
 	waits := false // some other task
 	for i := range q.j.rec.Spec.Tasks {
-		waits = waits || slot(q, i) != n && !q.over(i)
+		waits = waits || slot(q, i) != n && !q.j.isDone(i) // durably, or a crash may start it again
 	}
 	if waits && slices.Contains(q.j.rec.Zones, zone) {
 		return false
