core: the first acceptance of a job counts, on every node

Cause: two nodes can accept one submission, in two batches or in a batch and with the job's own key, and nothing decided which counts. The second writer answered from its own record, an own key replaced the batch's record on every node, a load took the batch whose name came first, and an acceptance could say 'cancelled'.

Change: a job's entry knows which acceptance counts; a later one is void. Acceptances are queued only, an abort is derived from the cause's record. A dependent is answered behind a barrier after its commit. Every acceptance is guarded by both prefixes of the own key; a batch still takes as many jobs, since it uses all guards that the protocol allows. The graph is filled once a load is complete. A batch that says 'cancelled' (older version) archives the job, so its own dependents no longer wait for ever.

--- /dev/null
+++ b/internal/core/acceptance_test.go
@@ -0,0 +1,182 @@
+package core
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/chalkhub/chalkhub/internal/config"
+	"github.com/chalkhub/chalkhub/internal/mirror"
+	"github.com/chalkhub/chalkhub/internal/protocol"
+	"github.com/chalkhub/chalkhub/internal/records"
+)
+
+// What happens without the rule that is tested here: two controllers accept one submission, the
+// first in a batch, the second in another batch or with the job's own key. A controller that loads
+// the state anew reads the batches in the order of their names, and takes whichever comes first; and
+// any controller that reads the own key takes that for a change of the job. They then hold
+// different records of one job ("was aborted at 3.100 and is called queued" in
+// TestDependentOfCancelledJobHasOneAnswerOnAllNodes).
+
+// storeHistory is a state service that the records of one job are written to, as the guards of
+// their writers allow it.
+type storeHistory struct {
+	revision uint64
+	events   []protocol.WatchEvent
+	values   map[string]protocol.KeyValue
+
+	first  records.Job // the first acceptance, as changed since
+	ownKey string      // the job's own key, empty: there is none
+}
+
+const acceptedTwiceID = "job-000001"
+
+func (h *storeHistory) put(key string, value any) {
+	h.revision++
+	raw := protocol.Raw(protocol.Encode(value))
+	h.events = append(h.events, protocol.WatchEvent{Put: key, Value: raw, Version: h.revision})
+	h.values[key] = protocol.KeyValue{Key: key, Value: raw, Version: h.revision}
+}
+
+func (h *storeHistory) remove(key string) {
+	h.revision++
+	h.events = append(h.events, protocol.WatchEvent{Delete: key, Version: h.revision})
+	delete(h.values, key)
+}
+
+// accept writes an acceptance, in a batch or with the job's own key. Each has its own count of tasks,
+// so that it is known again.
+func (h *storeHistory) accept(t *rapid.T, alone bool) {
+	record := records.Job{Spec: protocol.Job{ID: acceptedTwiceID, Kind: protocol.KindArray, Tasks: int(h.revision) + 1}, State: protocol.JobQueued}
+	dependent := rapid.Bool().Draw(t, "dependent")
+	if dependent {
+		record.Spec.Dependencies = []string{"job-000009"} // never over
+	}
+	if h.first.Spec.ID == "" {
+		h.first = record
+	}
+	prefix := map[bool]string{false: keyBatch, true: keyDependentBatch}[dependent]
+	if alone {
+		h.ownKey = (&jobEntry{record: record, dependent: dependent}).recordKey()
+		h.put(h.ownKey, record)
+		return
+	}
+	name := fmt.Sprintf("%s%02d-%d", prefix, rapid.IntRange(0, 99).Draw(t, "name"), h.revision)
+	h.put(name, records.AdmissionBatch{Jobs: []records.Job{record}})
+}
+
+// change writes what a controller writes of a job that it knows: to the job's own key.
+func (h *storeHistory) change(t *rapid.T) {
+	if h.ownKey == "" {
+		h.ownKey = (&jobEntry{record: h.first, dependent: len(h.first.Spec.Dependencies) > 0}).recordKey()
+	}
+	if rapid.Bool().Draw(t, "over") {
+		h.first.State, h.first.StopReason = protocol.JobCancelled, "cancelled by its user"
+	} else {
+		h.first.Zones = []string{"a"}
+	}
+	h.put(h.ownKey, h.first)
+}
+
+// replica is a controller's mirror of a history.
+type replica struct{ *Core }
+
+func newReplica() replica {
+	var settings config.Settings
+	settings.Site.Store = config.StoreLimits{RPS: 100, WriteRPS: 50, ValueKB: 16, MaxTxnOps: 16}
+	settings.Site.Workers = config.WorkerTiming{HeartbeatS: 2, LeaseS: 16, CancelS: 45}
+	c := New(&settings, config.DefaultPolicy(), "boot", false)
+	c.mirror.Maintain()
+	return replica{c}
+}
+
+// load reads all keys as they are now, in their order.
+func (r replica) load(h *storeHistory) {
+	var items []protocol.KeyValue
+	for _, item := range h.values {
+		items = append(items, item)
+	}
+	slices.SortFunc(items, func(a, b protocol.KeyValue) int { return cmp.Compare(a.Key, b.Key) })
+	r.mirror.HandlePage(mirror.Page{OK: true, Items: items, Revision: h.revision})
+}
+
+// follow reads what has changed since.
+func (r replica) follow(h *storeHistory) {
+	changes := protocol.WatchResponse{Revision: h.revision, Events: h.events}
+	r.mirror.HandleChanges(mirror.Changes{Outcome: mirror.Served, Answer: changes})
+}
+
+// requireFirst fails unless the replica holds the first acceptance and what was changed of it.
+func (r replica) requireFirst(t *rapid.T, h *storeHistory, how string) {
+	j := r.records.acceptedJob(acceptedTwiceID)
+	if h.first.Spec.ID == "" {
+		if j != nil {
+			t.Fatalf("%s: accepted by nobody, and known", how)
+		}
+		return
+	}
+	if j == nil {
+		t.Fatalf("%s: not known", how)
+	}
+	got, want := &j.record, &h.first
+	if got.Spec.Tasks != want.Spec.Tasks || got.State != want.State || !slices.Equal(got.Zones, want.Zones) && want.State == protocol.JobQueued {
+		t.Fatalf("%s: %d tasks, %s, zones %v; the first acceptance has %d, %s, %v", how,
+			got.Spec.Tasks, got.State, got.Zones, want.Spec.Tasks, want.State, want.Zones)
+	}
+	if guard := j.recordGuard(); h.ownKey != "" && want.State == protocol.JobQueued && guard != (protocol.Guard{Key: h.ownKey, Version: h.values[h.ownKey].Version}) {
+		t.Fatalf("%s: a change would be guarded by %+v, the job's own key is %+v", how, guard, h.values[h.ownKey])
+	}
+	if waits := r.records.dependencies.IsWaiting(acceptedTwiceID); want.State == protocol.JobQueued && waits != (len(want.Spec.Dependencies) > 0) {
+		t.Fatalf("%s: waits for another job: %v", how, waits)
+	}
+}
+
+// deleteUnneeded deletes the batches that a leader with this replica would.
+func (r replica) deleteUnneeded(h *storeHistory) {
+	for _, key := range sortedKeys(r.records.batches) {
+		if !slices.ContainsFunc(r.records.batches[key].jobs, r.records.needsBatch) {
+			h.remove(key)
+		}
+	}
+}
+
+// Whatever records of a job are written in whatever order, and whether a controller follows them or
+// loads them later: the first acceptance counts, and a batch that holds it is not deleted.
+func TestFirstAcceptanceCountsOnEveryNode(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := &storeHistory{values: map[string]protocol.KeyValue{}}
+		follower := newReplica()
+		follower.load(h)
+		for range rapid.IntRange(1, 8).Draw(rt, "writes") {
+			switch rapid.SampledFrom([]string{"batch", "batch", "alone", "change", "collect"}).Draw(rt, "write") {
+			case "batch":
+				if h.ownKey == "" {
+					h.accept(rt, false)
+				}
+			case "alone":
+				if h.ownKey == "" {
+					h.accept(rt, true)
+				}
+			case "change":
+				if h.first.Spec.ID != "" && h.first.State == protocol.JobQueued {
+					h.change(rt)
+				}
+			default:
+				follower.follow(h)
+				follower.deleteUnneeded(h)
+			}
+			if rapid.Bool().Draw(rt, "read") {
+				follower.follow(h)
+				follower.requireFirst(rt, h, "followed")
+			}
+			late := newReplica()
+			late.load(h)
+			late.requireFirst(rt, h, "loaded")
+		}
+		follower.follow(h)
+		follower.requireFirst(rt, h, "followed")
+	})
+}
--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -96,17 +96,16 @@
 func (a *admission) writeAlone(s submission) {
 	c, jobID := a.core, s.record.Spec.ID
 	key := (&jobEntry{record: s.record, dependent: len(s.record.Spec.Dependencies) > 0}).recordKey()
-	guards := notAcceptedGuards(jobID, s.namesDependencies)
-	c.commit(guards, []protocol.Operation{{Put: key, Value: s.record}}, func(result CommitResult) {
+	c.commit(notAcceptedGuards(jobID), []protocol.Operation{{Put: key, Value: s.record}}, func(result CommitResult) {
 		switch result.Outcome {
 		case Committed:
-			c.queries.replyAccepted(s.requestID, &s.record)
+			a.replyCommitted(&s, result.Answer.Revision)
 		case CommitConflict:
 			c.queries.replyCurrent(s.requestID, jobID) // another node was first, or an earlier try of ours
 		case CommitUnknown:
 			// The transaction may have been applied, or may be later. If it has
 			// been, say so; if not, 503 promises nothing either way.
-			c.mirror.Barrier(func(ok bool) { c.queries.replyUncertain(s.requestID, jobID, ok) })
+			c.queries.replyAfterCommit(s.requestID, jobID, unknownRevision)
 		case CommitThrottled:
 			a.batches.writeTokens = 0
 			a.batches.enqueue(s) // once more, with others
@@ -116,14 +115,31 @@
 	})
 }
 
-// notAcceptedGuards hold as long as nobody has accepted a job. Whoever names jobs that it needs
-// may be kept below either prefix, as those were over or not when it was looked at.
-func notAcceptedGuards(id string, namesDependencies bool) []protocol.Guard {
-	guards := []protocol.Guard{{Key: keyJob + id}}
-	if namesDependencies {
-		guards = append(guards, protocol.Guard{Key: keyDependentJob + id})
+// replyCommitted answers a submission whose record was written at a revision.
+//
+// The write may have come second, after a batch of another node (see acceptance). Of a job that
+// names no others nothing can have been said that contradicts "queued": it is over only with a
+// record of its own key, and the write is guarded by that key's absence. A dependent is over as soon
+// as one that it needs is cancelled, without a record of its own, so its first acceptance may have
+// been answered with "aborted" before this one was written. It is answered from the mirror, once
+// that has everything up to here.
+func (a *admission) replyCommitted(s *submission, revision uint64) {
+	if s.namesDependencies {
+		a.core.queries.replyAfterCommit(s.requestID, s.record.Spec.ID, revision)
+	} else {
+		a.core.queries.replyAccepted(s.requestID, &s.record)
 	}
-	return guards
+}
+
+// guardsPerJob is how many notAcceptedGuards a job has.
+const guardsPerJob = 2
+
+// notAcceptedGuards hold as long as the job has no key of its own, below either prefix: it depends
+// on the submission, and on which of the jobs that it names are over, below which it is kept.
+//
+// Guards against two keys of one job, whose changes would not exclude each other.
+func notAcceptedGuards(id string) []protocol.Guard {
+	return []protocol.Guard{{Key: keyJob + id}, {Key: keyDependentJob + id}}
 }
 
 // infeasible says why a job can never run, empty if it may.
--- a/internal/core/admission_batches.go
+++ b/internal/core/admission_batches.go
@@ -17,8 +17,8 @@
 // or after an outage, at a service of some dozens of changes a second.
 //
 // A job's first own change (its zones, or its end) writes its own key, which must not be
-// there yet; what its batch says of it is void from then on. Two nodes may accept the same
-// submission in two batches: it is the same job, and the first counts.
+// there yet; what its batch says of it is void from then on. Two nodes may accept one submission
+// twice: the first counts (see acceptance).
 type admissionBatches struct {
 	core           *Core
 	writeTokens    float64 // writes that submissions may take now
@@ -34,6 +34,10 @@
 	jobs    []string
 }
 
+// guardsPerTxnOp is how many guards the protocol allows for each operation that a transaction may
+// have at the most.
+const guardsPerTxnOp = 4
+
 // Sizes of a batch, in bytes as limits are counted.
 const (
 	maxBatchSize   = 32 << 10 // however large a value may be
@@ -83,22 +87,22 @@
 	b.flush()
 }
 
-// nextBatch takes from the waiting submissions what fits into one value, and into half of the
-// guards that a transaction may have. Jobs that need others go into batches of their own, which
-// older versions do not read.
+// nextBatch takes from the waiting submissions what fits into one value, and into the guards that
+// a transaction may have. Jobs that need others go into batches of their own, which older versions
+// do not read.
 func (b *admissionBatches) nextBatch() []submission {
 	var batch, rest []submission
-	maxSize, maxGuards := min(b.core.maxValueBytes(), maxBatchSize), 2*b.core.storeLimits.MaxTxnOps
+	maxSize, maxGuards := min(b.core.maxValueBytes(), maxBatchSize), guardsPerTxnOp*b.core.storeLimits.MaxTxnOps
 	size, guards := batchFrameSize, 1
 	for i := range b.waiting {
 		s := &b.waiting[i]
-		fits := size+s.size+separatorSize <= maxSize && guards+s.guardCount() <= maxGuards
+		fits := size+s.size+separatorSize <= maxSize && guards+guardsPerJob <= maxGuards
 		if len(batch) > 0 && (s.batchPrefix() != batch[0].batchPrefix() || !fits) {
 			rest = append(rest, *s)
 			continue
 		}
 		batch = append(batch, *s)
-		size, guards = size+s.size+separatorSize, guards+s.guardCount()
+		size, guards = size+s.size+separatorSize, guards+guardsPerJob
 	}
 	b.waiting = rest
 	return batch
@@ -112,14 +116,6 @@
 	return keyBatch
 }
 
-// guardCount is how many notAcceptedGuards a submission has.
-func (s *submission) guardCount() int {
-	if s.namesDependencies {
-		return 2
-	}
-	return 1
-}
-
 // write writes a batch.
 func (b *admissionBatches) write(batch []submission) {
 	b.writeCount++
@@ -127,7 +123,7 @@
 	guards := []protocol.Guard{{Key: key}}
 	var record records.AdmissionBatch
 	for i := range batch {
-		own := notAcceptedGuards(batch[i].record.Spec.ID, batch[i].namesDependencies)
+		own := notAcceptedGuards(batch[i].record.Spec.ID)
 		if slices.Contains(guards, own[0]) {
 			continue // the same submission twice
 		}
@@ -143,16 +139,14 @@
 	switch result.Outcome {
 	case Committed:
 		for i := range batch {
-			queries.replyAccepted(batch[i].requestID, &batch[i].record)
+			b.core.admission.replyCommitted(&batch[i], result.Answer.Revision)
 		}
 	case CommitConflict:
 		b.retryWithout(batch, result.Answer.Failed)
 	case CommitUnknown:
-		b.core.mirror.Barrier(func(ok bool) {
-			for i := range batch {
-				queries.replyUncertain(batch[i].requestID, batch[i].record.Spec.ID, ok)
-			}
-		})
+		for i := range batch {
+			queries.replyAfterCommit(batch[i].requestID, batch[i].record.Spec.ID, unknownRevision)
+		}
 	default:
 		for i := range batch {
 			queries.replyRetry(batch[i].requestID, reasonStoreBusy)
--- a/internal/core/chunked_records.go
+++ b/internal/core/chunked_records.go
@@ -158,7 +158,7 @@
 func (x *chunkedRecords) writeJob(write *chunkedWrite) {
 	jobID := write.record.Spec.ID
 	firstChunk := protocol.Guard{Key: chunkKey(jobID, write.nonce, 0), Version: write.firstRevision}
-	guards := append(notAcceptedGuards(jobID, true), firstChunk)
+	guards := append(notAcceptedGuards(jobID), firstChunk)
 	head := records.Job{
 		Spec: protocol.Job{ID: jobID}, State: write.record.State, SubmittedAt: write.record.SubmittedAt,
 		Chunks: len(write.chunks), ChunkNonce: write.nonce,
--- a/internal/core/costs_test.go
+++ b/internal/core/costs_test.go
@@ -148,3 +148,40 @@
 		})
 	}
 }
+
+// BenchmarkStoreRequests counts what three controllers ask of the state service in a busy minute: five
+// jobs a second, two of them dependents, whose users poll.
+func BenchmarkStoreRequests(b *testing.B) {
+	const rounds = 60
+	for range b.N {
+		s := newScenario(b, 1)
+		requests := map[string]float64{}
+		s.OnApplied = func(_ *simulation.Node, commands []core.Command, _ time.Duration) {
+			for _, command := range commands {
+				switch command := command.(type) {
+				case core.CommitResult:
+					requests["commits"]++
+				case core.WatchResult:
+					if command.Barrier {
+						requests["barriers"]++
+					} else {
+						requests["watches"]++
+					}
+				}
+			}
+		}
+		for range rounds {
+			head := s.Users.Submit(simulation.Array(4), 5)
+			s.Users.Submit(simulation.Array(2), 5)
+			s.Users.Submit(simulation.Array(1), 5)
+			s.Run(s.Now + second/2)
+			s.Users.Submit(dependentArray(1, head), 2)
+			s.Users.Submit(dependentArray(2, head), 2)
+			s.Run(s.Now + second/2)
+		}
+		s.requireInvariants()
+		for name, count := range requests {
+			b.ReportMetric(count/float64(b.N), name)
+		}
+	}
+}
--- a/internal/core/dependencies.go
+++ b/internal/core/dependencies.go
@@ -21,8 +21,7 @@
 	if a.replyIfUpgrading(id, "jobs that need others") {
 		return
 	}
-	var open []string
-	cancelled := ""
+	var unmet []string
 	for _, name := range record.Spec.Dependencies {
 		j := a.core.records.acceptedJob(name)
 		switch {
@@ -30,21 +29,18 @@
 			a.submitAfterBarrier(id, record)
 			return
 		case j == nil:
-			a.core.queries.replyError(id, ReplyInvalid, "it needs "+name+", which was never accepted: submit that one first")
+			a.reject(id, record.Spec.ID, "it needs "+name+", which was never accepted: submit that one first")
 			return
 		case j.record.Spec.Kind == protocol.KindService:
-			a.core.queries.replyError(id, ReplyInvalid, "it needs "+name+", which is a service and is never done")
+			a.reject(id, record.Spec.ID, "it needs "+name+", which is a service and is never done")
 			return
-		case j.record.State == protocol.JobCancelled:
-			cancelled = name
 		case j.record.State != protocol.JobDone:
-			open = append(open, name)
+			unmet = append(unmet, name)
 		}
 	}
-	record.Spec.Dependencies = open // what is done stays done
-	if cancelled != "" {
-		record = finalRecord(&jobEntry{record: record}, protocol.JobCancelled, dependencyCancelled(cancelled))
-	}
+	// What is done stays done. A cancelled one is kept: that the job is aborted follows from that
+	// one's record on every node, and its own acceptance says no more than any other of it would.
+	record.Spec.Dependencies = unmet
 	a.admit(submission{requestID: id, record: record, namesDependencies: true})
 }
 
@@ -98,15 +94,35 @@
 // jobUpdated passes a job's new record on to the graph and the leader.
 func (r *storedRecords) jobUpdated(j *jobEntry) {
 	if !j.isFinal() {
-		if spec := &j.record.Spec; len(spec.Dependencies) > 0 {
-			r.dependencies.AddJob(spec.ID, spec.Dependencies, r.dependencyState)
-		} else {
-			r.dependencies.MarkOpen(spec.ID)
-		}
+		r.addToGraph(j)
 	}
 	r.core.scheduler.jobChanged(j)
 }
 
+// addToGraph adds an unfinished job to the graph; during a load, once all records are read, since
+// an earlier acceptance of the job may be among those that are to come.
+func (r *storedRecords) addToGraph(j *jobEntry) {
+	spec := &j.record.Spec
+	switch {
+	case len(spec.Dependencies) == 0:
+		r.dependencies.MarkOpen(spec.ID)
+	case r.core.mirror.IsReady():
+		r.dependencies.AddJob(spec.ID, spec.Dependencies, r.dependencyState)
+	default:
+		r.loadedJobs = append(r.loadedJobs, spec.ID)
+	}
+}
+
+// addLoadedJobs adds to the graph the jobs with dependencies that a load has read.
+func (r *storedRecords) addLoadedJobs() {
+	for _, id := range r.loadedJobs {
+		if j := r.jobs[id]; j != nil && len(j.record.Spec.Dependencies) > 0 {
+			r.dependencies.AddJob(id, j.record.Spec.Dependencies, r.dependencyState)
+		}
+	}
+	r.loadedJobs = nil
+}
+
 // dependencyState says how a job stands, for the graph, and if it is done since when.
 func (r *storedRecords) dependencyState(id string) (dag.State, float64) {
 	if archived, ok := r.archive.jobs[id]; ok {
@@ -153,7 +169,7 @@
 func (r *storedRecords) abortDependent(j *jobEntry, cause string) {
 	j.record = finalRecord(j, protocol.JobCancelled, dependencyCancelled(cause))
 	r.core.scheduler.jobChanged(j)
-	r.derivedAborts[j.record.Spec.ID] = j.recordVersion == 0
+	r.derivedAborts[j.record.Spec.ID] = !j.hasOwnRecord()
 	r.archiveJob(j)
 }
 
--- a/internal/core/garbage.go
+++ b/internal/core/garbage.go
@@ -82,10 +82,10 @@
 	}
 }
 
-// needsBatch reports whether only its batch says that a job was accepted.
+// needsBatch reports whether the record of a job that counts is in a batch.
 func (r *storedRecords) needsBatch(id string) bool {
 	j := r.jobs[id]
-	return j != nil && j.recordVersion == 0 || r.derivedAborts[id]
+	return j != nil && !j.hasOwnRecord() || r.derivedAborts[id]
 }
 
 // collectChunk deletes a chunk of a write that came to nothing: the job was accepted without it,
@@ -130,7 +130,7 @@
 	g.takeWriteToken()
 	g.deletingChunk = true
 	delete(g.orphanedSince, key)
-	guards := append(notAcceptedGuards(id, true), g.core.membership.leaderGuard(), g.core.mirror.Guard(key))
+	guards := append(notAcceptedGuards(id), g.core.membership.leaderGuard(), g.core.mirror.Guard(key))
 	g.deleteKeys(guards, []string{key}, func() { g.deletingChunk = false })
 }
 
--- a/internal/core/queries.go
+++ b/internal/core/queries.go
@@ -43,14 +43,23 @@
 	})
 }
 
-// replyUncertain answers a submission whose write had no answer, once the mirror has been read;
-// ok: it was.
-func (q *jobQueries) replyUncertain(id RequestID, jobID string, ok bool) {
-	if j := q.core.records.acceptedJob(jobID); ok && j != nil {
-		q.replyJob(id, j)
-	} else {
-		q.replyRetry(id, reasonStoreDown)
-	}
+// unknownRevision is the revision of a write that had no answer.
+const unknownRevision = 0
+
+// replyAfterCommit answers a submission that was written at a revision, once the mirror has read
+// what became of it: another acceptance of the job may have been the first.
+func (q *jobQueries) replyAfterCommit(id RequestID, jobID string, revision uint64) {
+	q.core.mirror.Barrier(func(ok bool) {
+		j := q.core.records.acceptedJob(jobID)
+		switch {
+		case !ok || j == nil:
+			q.replyRetry(id, reasonStoreDown)
+		case revision != unknownRevision && j.acceptance.version == revision:
+			q.replyAccepted(id, &j.record)
+		default:
+			q.replyJob(id, j)
+		}
+	})
 }
 
 // replyAccepted tells a user that a job is accepted.
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -24,7 +24,8 @@
 	batches       map[string]*admissionBatch
 	chunks        map[string]map[string]string // of chunked records, by job and key
 	dependencies  *dag.Graph
-	derivedAborts map[string]bool // jobs that are over because of another one; true: only a batch holds them
+	derivedAborts map[string]bool // jobs that are over because of another one; true: a batch holds the record that counts
+	loadedJobs    []string        // jobs with dependencies, read by the load that is under way
 
 	nodes          map[string]records.Node // controllers, by label
 	leader         *records.Leader
@@ -48,6 +49,7 @@
 	r.jobs, r.archive = map[string]*jobEntry{}, newJobArchive(r.core.fairShareRules)
 	r.batches, r.chunks = map[string]*admissionBatch{}, map[string]map[string]string{}
 	r.dependencies, r.derivedAborts = dag.New(), map[string]bool{}
+	r.loadedJobs = nil
 	r.core.garbage.reset()
 	r.nodes = map[string]records.Node{}
 	r.leader, r.shardMap, r.estimates = nil, nil, nil
@@ -69,7 +71,10 @@
 }
 
 // Settle implements mirror.Replica.
-func (r *storedRecords) Settle() { r.applyDependencyChanges() }
+func (r *storedRecords) Settle() {
+	r.addLoadedJobs()
+	r.applyDependencyChanges()
+}
 
 // Put implements mirror.Replica. A value that can't be decoded is logged and left out.
 func (r *storedRecords) Put(key string, value protocol.Raw, version uint64) (rememberVersion bool) {
@@ -204,9 +209,14 @@
 		return nil
 	}
 	j := r.entry(id)
-	if j.version > version || j.recordVersion == version {
+	if j.recordVersion >= version {
 		return nil // nothing new: the chunks of a long record are read once
 	}
+	if record.IsAcceptance() && j.isAcceptedBefore(version) {
+		r.logVoidAcceptance(j, version)
+		j.recordVersion, j.dependent, j.acceptance.ownKeyVoid = version, dependent, true
+		return nil
+	}
 	if record.Chunks > 0 {
 		if err := r.assembleRecord(&record); err != nil {
 			return err
@@ -216,6 +226,12 @@
 	return nil
 }
 
+// logVoidAcceptance says that a job was accepted once more by a later record.
+func (r *storedRecords) logVoidAcceptance(j *jobEntry, version uint64) {
+	r.core.logDebug("job accepted twice: the first record counts",
+		"job", j.record.Spec.ID, "first", j.acceptance.version, "void", version)
+}
+
 // updateJob takes a newer version of a job's own record, and archives the job if that is final.
 func (r *storedRecords) updateJob(j *jobEntry, record records.Job, dependent bool, version uint64) {
 	if len(record.Zones) == 0 {
@@ -223,6 +239,10 @@
 	}
 	ends := !j.isFinal() && record.State != protocol.JobQueued
 	j.record, j.version, j.recordVersion, j.dependent = record, version, version, dependent
+	j.acceptance = acceptance{}
+	if record.IsAcceptance() {
+		j.acceptance.version = version
+	}
 	if j.isFinal() {
 		if record.State == protocol.JobDone {
 			j.doneCount = record.Spec.Tasks
@@ -269,21 +289,39 @@
 		return err
 	}
 	batch := &admissionBatch{version: version}
+	dependent := strings.HasPrefix(key, keyDependentBatch)
 	for i := range record.Jobs {
-		id := record.Jobs[i].Spec.ID
-		batch.jobs = append(batch.jobs, id)
-		if _, over := r.archive.jobs[id]; over {
-			continue
-		}
-		if j := r.entry(id); j.version == 0 {
-			j.record, j.version, j.dependent = record.Jobs[i], version, strings.HasPrefix(key, keyDependentBatch)
-			r.jobUpdated(j)
-		}
+		batch.jobs = append(batch.jobs, record.Jobs[i].Spec.ID)
+		r.applyBatchedJob(&record.Jobs[i], dependent, version)
 	}
 	r.batches[key] = batch
 	return nil
 }
 
+// applyBatchedJob takes what a batch says of one of its jobs. Batches are loaded in the order of
+// their names, so an earlier acceptance may come after a later one.
+func (r *storedRecords) applyBatchedJob(record *records.Job, dependent bool, version uint64) {
+	id := record.Spec.ID
+	if _, over := r.archive.jobs[id]; over {
+		return
+	}
+	j := r.entry(id)
+	if j.isAcceptedBefore(version) {
+		r.logVoidAcceptance(j, version)
+		return
+	}
+	j.acceptance = acceptance{version: version, ownKeyVoid: j.recordVersion > 0}
+	j.record, j.version = *record, version
+	if j.recordVersion == 0 {
+		j.dependent = dependent
+	}
+	r.jobUpdated(j)
+	if j.isFinal() { // an older version accepts the dependent of a cancelled job like that
+		r.derivedAborts[id] = true
+		r.archiveJob(j)
+	}
+}
+
 // applyProgress takes a block of a job's completed tasks, so many to a block. name is the job and
 // the number of the block.
 func (r *storedRecords) applyProgress(key, name string, blockTasks int, value protocol.Raw) error {
--- a/internal/mirror/load.go
+++ b/internal/mirror/load.go
@@ -31,7 +31,6 @@
 	for _, item := range page.Items {
 		m.put(item.Key, item.Value, item.Version)
 	}
-	m.replica.Settle()
 	if page.More && len(page.Items) > 0 {
 		m.load.afterKey = page.Items[len(page.Items)-1].Key
 		m.load.pacer.send(m.host, m.options.PageInterval, m.requestPage)
@@ -48,6 +47,7 @@
 
 func (m *Mirror) finishLoad() {
 	m.load.afterKey = ""
+	m.replica.Settle()
 	m.phase = following
 	m.revision, m.freshAt = m.load.revision, m.load.sentAt
 	m.replica.Loaded()
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -28,7 +28,7 @@
 	Put(key string, value protocol.Raw, version uint64) (rememberVersion bool)
 	// Delete takes the deletion of a key.
 	Delete(key string)
-	// Settle follows each batch of Put and Delete.
+	// Settle follows each batch of Put and Delete; a load is one batch.
 	Settle()
 	// Loaded follows the last page of a load.
 	Loaded()
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -17,6 +17,10 @@
 	DoneAt      float64      `msgpack:"over,omitempty"`   // time of day when it was done, in seconds; 0: an older version wrote it
 }
 
+// IsAcceptance reports whether the record is as it was when the job was accepted. Every later one
+// says that the job is over, or names its zones.
+func (j *Job) IsAcceptance() bool { return j.State == protocol.JobQueued && len(j.Zones) == 0 }
+
 // Chunk is a part of a record that is larger than a value: of its MessagePack, deflated, as
 // base64.
 type Chunk struct {
