--- a/internal/mirror/pacer.go
+++ b/internal/mirror/pacer.go
@@ -14,10 +14,11 @@
 // send sends a read, at once unless the last one left less than an interval ago.
 func (p *pacer) send(host Host, interval time.Duration, request func()) {
 	now := host.Now()
-	if p.nextAt <= now {
+	sendAt := max(p.nextAt, now)
+	p.nextAt = sendAt + interval // before the request, which may send another
+	if sendAt == now {
 		request()
 	} else {
-		host.After(p.nextAt-now, request)
+		host.After(sendAt-now, request)
 	}
-	p.nextAt = max(p.nextAt, now) + interval
 }
--- a/internal/mirror/watch.go
+++ b/internal/mirror/watch.go
@@ -34,9 +34,7 @@
 	case Served:
 		m.applyChanges(&changes)
 	case Compacted:
-		if m.phase == following { // else a load is under way already
-			m.phase = needsLoad
-		}
+		m.fallBehind(&changes)
 	default:
 		m.changesFailed(&changes)
 	}
@@ -45,6 +43,16 @@
 	}
 }
 
+// fallBehind has the replica loaded anew, unless that is under way already, or was done after the
+// request left.
+func (m *Mirror) fallBehind(changes *Changes) {
+	if m.phase != following || changes.SentAt < m.load.sentAt {
+		return
+	}
+	m.phase = needsLoad
+	m.failBarriers()
+}
+
 func (m *Mirror) applyChanges(changes *Changes) {
 	if m.unavailable {
 		m.unavailable = false
