core: the test of the job left waiting rests on one cause only

Its first form failed for a second reason as well: the job had no objective, so on-demand machines were kept from it to be returned. The class has one now, and every machine counts.

--- a/internal/core/failed_jobs_test.go
+++ b/internal/core/failed_jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/chalkhub/chalkhub/internal/config"
 	"github.com/chalkhub/chalkhub/internal/protocol"
 	"github.com/chalkhub/chalkhub/internal/simulation"
 )
@@ -22,6 +23,7 @@
 func TestFailedTaskIsRetriedOnMachineOfOtherShard(t *testing.T) {
 	settings := simulation.Settings(3)
 	settings.Site.Workers.LeaseS, settings.Site.Workers.CancelS = 40, 120
+	settings.Site.Objectives = []config.Objective{{Kind: "wait", Class: "photos", WithinS: 3, Share: 0.8}} // it is worth every machine
 	s := &scenario{Cluster: simulation.NewWithSettings(9500, settings, simulation.MachineTypes()), t: t}
 	s.Cloud.Capacity["box"], s.Cloud.Capacity["barn"] = 0, 0 // no other machine comes
 	s.Users.FaultsOverAt = 1                                 // no fault but the machines', which the rule leaves out
@@ -34,7 +36,7 @@
 	for _, machine := range faulty {
 		s.Workers[machine].Faulty = true
 	}
-	job := s.submitAccepted(simulation.Array(8), 5)
+	job := s.submitAccepted(simulation.Array(16), 3)
 	s.eventually(30*second, "its tasks have failed on both machines", func() bool {
 		return s.logged(faulty[0]+" why error") && s.logged(faulty[1]+" why error")
 	})
