core: a failed task is tried on a machine of another shard as well

Cause: if the first machine in the order of filling is avoided, another one was looked for in its shard only. The log line 'ranked' now counts feasible and avoided machines; in a trial with their names it showed four machines with room that no job avoided, and nothing dispatched, in each round.

Change: the first machine that is not avoided, in one pass over the machines.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -15,11 +15,13 @@
 	spec      *protocol.Job
 	canary    bool // of a crash-looping job one task is tried at a time
 
-	machines  []*candidateMachine // feasible for its tasks, in the order in which they are filled
-	next      int                 // the machines before this one have no room for any of its tasks
-	fullZones []bool              // by zone of a spread job: a task found no room there
-	sent      int
-	backedOff int // tasks that wait because they failed
+	machines []*candidateMachine // feasible for its tasks, in the order in which they are filled
+	next     int                 // the machines before this one have no room for its tasks, or it avoids them
+	// avoidedHaveRoom: one of the machines before next has room for its tasks and is avoided.
+	avoidedHaveRoom bool
+	fullZones       []bool // by zone of a spread job: a task found no room there
+	sent            int
+	backedOff       int // tasks that wait because they failed
 }
 
 // dispatch sends the waiting tasks of a job to shards that own machines with room for them, and
@@ -50,10 +52,20 @@
 	if s.core.debug && (d.sent > 0 || q.reason != "") {
 		s.core.logDebug("ranked",
 			"job", q.id, "predicted", q.predictedSeconds, "guaranteed", q.withinGuarantee,
-			"dispatched", d.sent, "waiting", q.waitingTasks(), "reason", q.reason)
+			"dispatched", d.sent, "waiting", q.waitingTasks(), "machines", len(d.machines), "avoided", d.countAvoided(), "reason", q.reason)
 	}
 }
 
+// countAvoided is how many of the feasible machines the job avoids.
+func (d *jobDispatch) countAvoided() (avoided int) {
+	for _, machine := range d.machines {
+		if d.scheduler.isAvoided(machine, d.job) {
+			avoided++
+		}
+	}
+	return avoided
+}
+
 // canStart reports whether a job's tasks may be dispatched at all, whatever the room, and notes
 // why not.
 func (s *scheduler) canStart(q *queuedJob, round *schedulingRound) bool {
@@ -103,23 +115,20 @@
 	if d.atLimit() {
 		return false
 	}
-	machine := d.findMachine(index)
-	if machine == nil && d.otherZoneHasRoom(index) {
+	machine, roomIsAvoided := d.findMachine(index)
+	switch {
+	case machine != nil:
+		return d.send(index, machine)
+	case roomIsAvoided:
+		d.job.retryAt[index] = now + d.scheduler.core.intervals.maintenance
+		d.backedOff++
+		return true
+	case d.otherZoneHasRoom(index):
 		d.markZoneFull(index)
 		return true
 	}
-	if machine == nil {
-		d.handleNoRoom(index)
-		return false
-	}
-	if d.scheduler.isAvoided(machine, d.job) {
-		if machine = d.findAlternative(index, machine); machine == nil {
-			d.job.retryAt[index] = now + d.scheduler.core.intervals.maintenance
-			d.backedOff++
-			return true
-		}
-	}
-	return d.send(index, machine)
+	d.handleNoRoom(index)
+	return false
 }
 
 // atLimit reports whether the job may have no more tasks whatever the room, and notes why. What
@@ -142,35 +151,27 @@
 	return false
 }
 
-// findMachine is the first machine with room for a task, nil if there is none.
-func (d *jobDispatch) findMachine(index int) *candidateMachine {
+// findMachine is the first machine with room for a task that the job does not avoid, nil if there
+// is none; roomIsAvoided: the only machines with room for it are those that the job avoids.
+//
+// Guards against a job that waits for them beside idle machines: another one was looked for in the
+// shard of the first only.
+func (d *jobDispatch) findMachine(index int) (machine *candidateMachine, roomIsAvoided bool) {
 	if d.spec.Spread {
-		for _, machine := range d.machines {
-			if d.fits(index, machine) {
-				return machine
-			}
-		}
-		return nil
+		d.next, d.avoidedHaveRoom = 0, false // its tasks may use different machines
 	}
 	// The tasks of other jobs are alike, and within a round room only shrinks: a machine
 	// without room for one task has none for the next.
 	for ; d.next < len(d.machines); d.next++ {
-		if d.fits(index, d.machines[d.next]) {
-			return d.machines[d.next]
-		}
-	}
-	return nil
-}
-
-// findAlternative is another machine with room in the shard of one that the job avoids. The shard
-// would look for one itself, and return the task if it finds none.
-func (d *jobDispatch) findAlternative(index int, avoided *candidateMachine) *candidateMachine {
-	for _, machine := range d.machines {
-		if machine.shard == avoided.shard && !d.scheduler.isAvoided(machine, d.job) && d.fits(index, machine) {
-			return machine
+		switch machine := d.machines[d.next]; {
+		case !d.fits(index, machine):
+		case d.scheduler.isAvoided(machine, d.job):
+			d.avoidedHaveRoom = true
+		default:
+			return machine, false
 		}
 	}
-	return nil
+	return nil, d.avoidedHaveRoom
 }
 
 // fits reports whether a machine has room for a task and the task may be there.
