agentd: a preemption notice is kept from the moment the daemon exists

Symptom: an agent that gets the cloud's notice before it holds its folder's lock ends with a nil pointer in (*Daemon).post; its tasks are not saved.

Cause: post used the context that Serve sets only with the lock; the notice's seconds counted from when the queue was read.

Change: the daemon's context lasts from New until Serve is told to end or has failed; a notice is a moment of the agent's clock, and a repeat changes nothing.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -127,13 +127,22 @@
 	case AttemptExited:
 		a.handleAttemptExited(now, e)
 	case PreemptionNotice:
-		a.preemptionAt, a.preemptionNoticed = now+e.Remaining, true
-		a.noteChange(now)
+		a.handlePreemptionNotice(now, e)
 	}
 	a.advance(now)
 	return a.takeEffects()
 }
 
+// handlePreemptionNotice notes when the machine is taken back. A repeat, or a notice of a later
+// moment than one before, changes nothing.
+func (a *Agent) handlePreemptionNotice(now time.Duration, notice PreemptionNotice) {
+	if a.preemptionNoticed && notice.At >= a.preemptionAt {
+		return
+	}
+	a.preemptionAt, a.preemptionNoticed = notice.At, true
+	a.noteChange(now)
+}
+
 // advance does what is due: it ends a lease, begins a session, kills attempts whose grace
 // period is over, and sends a heartbeat.
 func (a *Agent) advance(now time.Duration) {
--- a/internal/agent/events.go
+++ b/internal/agent/events.go
@@ -53,8 +53,8 @@
 	Error    string
 }
 
-// PreemptionNotice says that the cloud takes the machine back.
-type PreemptionNotice struct{ Remaining time.Duration }
+// PreemptionNotice says that the cloud takes the machine back at a moment of the agent's clock.
+type PreemptionNotice struct{ At time.Duration }
 
 func (CommandsReceived) isEvent()  {}
 func (StatusRequested) isEvent()   {}
--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -65,8 +65,12 @@
 	events    chan agent.Event
 	artifacts *ArtifactsClient
 	rpc       *rpc.Client
-	lock      *os.File        // held by the agent and its shims
-	ctx       context.Context // of Serve
+	lock      *os.File // held by the agent and its shims
+
+	// ctx lasts from New until Serve has been told to end, so that whatever happens before the
+	// agent serves is kept for it.
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	// Owned by loop.
 	agent      *agent.Agent
@@ -90,7 +94,10 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Daemon{
+		ctx:            ctx,
+		cancel:         cancel,
 		settings:       settings,
 		events:         make(chan agent.Event, eventQueue),
 		artifacts:      NewArtifactsClient(settings.ArtifactsAddr),
@@ -101,9 +108,10 @@
 	}, nil
 }
 
-// NotifyPreemption tells the agent that the cloud takes its machine back.
+// NotifyPreemption tells the agent that the cloud takes its machine back. It may be called at any
+// time after New: a notice that comes before the agent serves waits for it, and its time runs.
 func (d *Daemon) NotifyPreemption(remaining time.Duration) {
-	d.post(agent.PreemptionNotice{Remaining: remaining})
+	d.post(agent.PreemptionNotice{At: shim.Clock() + remaining})
 }
 
 // post queues an event, unless the daemon ends.
@@ -118,14 +126,16 @@
 // they are gone.
 func (d *Daemon) Serve(ctx context.Context, l net.Listener) error {
 	defer func() { _ = d.lock.Close() }() // nothing was written
-	if err := d.acquireLock(ctx); err != nil {
+	defer d.cancel()
+	context.AfterFunc(ctx, d.cancel)
+	if err := d.acquireLock(d.ctx); err != nil {
 		return err
 	}
 	if err := d.loadState(); err != nil {
 		return err
 	}
-	g, ctx := errgroup.WithContext(ctx)
-	d.ctx = ctx
+	g, ctx := errgroup.WithContext(d.ctx)
+	context.AfterFunc(ctx, d.cancel) // if a part of it fails, all requests that wait end
 	now := shim.Clock()
 	d.agent = agent.New(d.settings.Agent, seedOf(d.settings.Agent.Machine), now, d.durable)
 	d.leaseUntil = now + config.Seconds(d.settings.Agent.Workers.LeaseS)
