config: a variable that a policy script does not set keeps its default

Symptom: any policy script switched preempt_for_guarantee on, whose documented default is off. Cause: the flag was read through a copy that began with 1. Change: each variable sets its own field; a flag and a whole number are kinds of variables.

--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -84,21 +84,15 @@
 	if err != nil {
 		return policy, err
 	}
-	// Whole numbers and flags are read as numbers, like the rest.
-	quarantineJobs, preemptForGuarantee := float64(policy.QuarantineJobs), 1.0
 	variables := policy.variables()
-	variables["quarantine_jobs"] = variable{&quarantineJobs, 1, 1000}
-	variables["preempt_for_guarantee"] = variable{&preemptForGuarantee, 0, 1}
 	var errs []error
 	for _, key := range slices.Sorted(maps.Keys(variables)) {
 		if value, ok := globals[key]; ok {
-			if problem := variables[key].set(value); problem != "" {
+			if problem := variables[key].take(value); problem != "" {
 				errs = append(errs, &ScriptError{lineOf(name, src, key), fmt.Sprintf("%s = %s: %s", key, value, problem)})
 			}
 		}
 	}
-	policy.QuarantineJobs = int(quarantineJobs)
-	policy.PreemptForGuarantee = preemptForGuarantee > 0
 	for _, key := range globals.Keys() {
 		_, known := variables[key]
 		if _, isFunction := globals[key].(starlark.Callable); !known && !isFunction && key[0] != '_' {
@@ -108,38 +102,56 @@
 	return policy, errors.Join(errs...)
 }
 
-// variable is a global of the script that sets a field of the policy, and its bounds.
+// variable is a global of the script that sets a field of the policy, and its bounds. A field whose
+// variable the script does not set is not touched.
 type variable struct {
-	field     *float64
+	set       func(float64)
 	low, high float64
 }
 
-// set takes the script's value and says what is wrong with it, if anything.
-func (v variable) set(value starlark.Value) (problem string) {
+// take takes the script's value and says what is wrong with it, if anything.
+func (v variable) take(value starlark.Value) (problem string) {
 	x, ok := starlark.AsFloat(value)
 	if !ok || math.IsNaN(x) || x < v.low || x > v.high {
 		return fmt.Sprintf("must be a number from %g to %g", v.low, v.high)
 	}
-	*v.field = x
+	v.set(x)
 	return ""
 }
 
-// variables are the globals that set a number of the policy.
+// number is a variable of a number.
+func number(field *float64, low, high float64) variable {
+	return variable{func(x float64) { *field = x }, low, high}
+}
+
+// wholeNumber is a variable of a whole number; what the script says is rounded down.
+func wholeNumber(field *int, low, high float64) variable {
+	return variable{func(x float64) { *field = int(x) }, low, high}
+}
+
+// flag is a variable that is off at 0 and on above, up to 1.
+func flag(field *bool) variable {
+	return variable{func(x float64) { *field = x > 0 }, 0, 1}
+}
+
+// variables are the globals that set the fields of the policy.
 func (p *Policy) variables() map[string]variable {
 	return map[string]variable{
-		"aging_leases":    {&p.AgingLeases, 0.1, 1e6},
-		"history_tasks":   {&p.HistoryTasks, 1, 1e6},
-		"progress_share":  {&p.ProgressShare, 0.05, 0.9},
-		"spot_share":      {&p.SpotShare, 0, 1},
-		"idle_boots":      {&p.IdleBoots, 0, 1000},
-		"horizon_share":   {&p.HorizonShare, 0.05, 1},
-		"soon_boots":      {&p.SoonBoots, 0.1, 1000},
-		"rush_boots":      {&p.RushBoots, 0, 1000},
-		"preempt_reports": {&p.PreemptReports, 0, 1e6},
-		"boot_patience":   {&p.BootTimeoutFactor, 1.5, 100},
-		"floor_share":     {&p.FairShare, 0, 0.95},
-		"floor_leases":    {&p.OverdueLeases, 1, 1e6},
-		"begin_s":         {&p.LargestStartS, 0, 1e9},
+		"aging_leases":          number(&p.AgingLeases, 0.1, 1e6),
+		"history_tasks":         number(&p.HistoryTasks, 1, 1e6),
+		"quarantine_jobs":       wholeNumber(&p.QuarantineJobs, 1, 1000),
+		"progress_share":        number(&p.ProgressShare, 0.05, 0.9),
+		"spot_share":            number(&p.SpotShare, 0, 1),
+		"idle_boots":            number(&p.IdleBoots, 0, 1000),
+		"horizon_share":         number(&p.HorizonShare, 0.05, 1),
+		"soon_boots":            number(&p.SoonBoots, 0.1, 1000),
+		"rush_boots":            number(&p.RushBoots, 0, 1000),
+		"preempt_reports":       number(&p.PreemptReports, 0, 1e6),
+		"preempt_for_guarantee": flag(&p.PreemptForGuarantee),
+		"boot_patience":         number(&p.BootTimeoutFactor, 1.5, 100),
+		"floor_share":           number(&p.FairShare, 0, 0.95),
+		"floor_leases":          number(&p.OverdueLeases, 1, 1e6),
+		"begin_s":               number(&p.LargestStartS, 0, 1e9),
 	}
 }
 
--- a/internal/config/policy_default_test.go
+++ b/internal/config/policy_default_test.go
@@ -12,9 +12,18 @@
 // A script that sets nothing, or one variable to its default, gives the default policy.
 func TestVariablesThatAreNotSetKeepTheirDefaults(t *testing.T) {
 	scripts := map[string]string{"empty": "", "a helper only": "_x = 1\n"}
+	for name, value := range map[string]any{
+		"aging_leases": 10, "history_tasks": 200, "quarantine_jobs": 2, "progress_share": 0.4, "spot_share": 1,
+		"idle_boots": 0.5, "horizon_share": 0.15, "soon_boots": 1, "rush_boots": 4, "preempt_reports": 4,
+		"preempt_for_guarantee": 0, "boot_patience": 3, "floor_share": 0.55, "floor_leases": 5, "begin_s": 240,
+	} { // as docs/operations.md has them
+		scripts[name] = fmt.Sprintf("%s = %v\n", name, value)
+	}
 	policy := DefaultPolicy()
-	for name, variable := range policy.variables() {
-		scripts[name] = fmt.Sprintf("%s = %v\n", name, *variable.field)
+	for name := range policy.variables() {
+		if _, listed := scripts[name]; !listed {
+			t.Errorf("%s: its default is not listed here", name)
+		}
 	}
 	for name, script := range scripts {
 		got, err := ParsePolicy("policy.star", []byte(script))
