core: what has failed is tried again within a minute, however long the leases

Cause: both pauses are multiples of the lease without a bound, and the rule's 90 s are not.

Change: both are at most a minute. Found with the same test: a machine was returned as idle in the round in which tasks were dispatched to it, since they no longer waited and were not there yet; dispatched tasks count now.

--- a/internal/core/failures.go
+++ b/internal/core/failures.go
@@ -10,7 +10,8 @@
 	// crash-looping. Fewer may be the machines' fault.
 	crashLoopMachines = 3
 
-	// maxCanaryDoublings bounds the interval between canaries: eight worker leases.
+	// maxCanaryDoublings bounds the interval between canaries: eight worker leases, or
+	// maxRetryPause if that is shorter.
 	maxCanaryDoublings = 4
 
 	// maxRetryDoublings bounds the back-off of a failed task: 64 maintenance intervals.
@@ -52,7 +53,7 @@
 	view.failedJobs[q.id] = true
 	switch {
 	case s.isCrashLooping(q):
-		q.failures.nextCanaryAt = now + intervals.workerLease/2<<min(q.failures.canaries, maxCanaryDoublings)
+		q.failures.nextCanaryAt = now + min(intervals.workerLease/2<<min(q.failures.canaries, maxCanaryDoublings), maxRetryPause)
 		delete(q.retryAt, index)
 	case q.provenToRun(intervals):
 		q.retryAt[index] = now + intervals.maintenance // it was the machine
--- a/internal/core/intervals.go
+++ b/internal/core/intervals.go
@@ -28,6 +28,11 @@
 // maintenancePeriod is the length of the leader's slow round.
 const maintenancePeriod = time.Second
 
+// maxRetryPause bounds how long work that has failed waits for its next try, however long the site's
+// leases: the users' rule is that no job waits for 90 s while a machine that fits has room, once all
+// faults are over, and nobody tells us that they are. A third of that is left for the try itself.
+const maxRetryPause = time.Minute
+
 // newIntervals derives the spans from the settings.
 func newIntervals(settings *config.Settings) intervals {
 	site := &settings.Site
@@ -49,7 +54,7 @@
 		maxStaleness:       maxStaleness,
 		machineLeaseExpiry: lease + driftMargin + heartbeat/8,
 		reservationExpiry:  2 * lease,
-		machineBackoff:     4 * lease,
+		machineBackoff:     min(4*lease, maxRetryPause),
 		maintenance:        maintenancePeriod,
 		scheduling:         min(heartbeat/6, maintenancePeriod),
 		readSpacing:        readSpacing,
--- a/internal/core/scale_in.go
+++ b/internal/core/scale_in.go
@@ -32,13 +32,14 @@
 	running, capacity := f.runningInstances()
 	f.sortForReturn(running)
 	wanted := max(demand.total, demand.inUse)
+	planned := f.core.scheduler.plannedAttempts()
 	constrained := slices.DeleteFunc(slices.Clone(waiting), func(job *queuedJob) bool { return !f.isConstrained(job) })
 	for _, inst := range running {
 		cpus := f.core.machineTypes()[inst.typeName].CPUs
 		if f.isNeeded(inst, constrained) || !demand.canSpare(cpus, inst.spot, capacity, wanted) {
 			continue
 		}
-		f.takeOut(inst, isClearSurplus(capacity.total-cpus, wanted))
+		f.takeOut(inst, len(planned[inst.name]) > 0, isClearSurplus(capacity.total-cpus, wanted))
 		capacity.add(-cpus, inst.spot)
 	}
 	f.publishCordons()
@@ -88,11 +89,14 @@
 
 // takeOut has a machine that can be spared get no new tasks, and returns it if it is idle. With
 // a clear surplus its shard is told not to fill it, and an idle spot machine is not kept for
-// work that may come.
-func (f *fleet) takeOut(inst *instance, surplus bool) {
+// work that may come. planned: tasks have been dispatched for the room on it.
+//
+// Guards against a machine that is returned in the round in which a job's last tasks were dispatched
+// to it: nothing of the job waited any more, and nothing of it was there yet.
+func (f *fleet) takeOut(inst *instance, planned, surplus bool) {
 	c := f.core
 	view := c.scheduler.machines.Get(inst.name)
-	idle := len(view.attempts) == 0
+	idle := len(view.attempts) == 0 && !planned
 	if inst.spot {
 		keep := config.Seconds(c.machineTypes()[inst.typeName].BootS * c.policy.IdleBoots)
 		idle = idle && (surplus || c.now.Monotonic-view.emptySince >= keep)
