--- a/internal/core/failed_jobs_test.go
+++ b/internal/core/failed_jobs_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/chalkhub/chalkhub/internal/config"
@@ -112,3 +113,26 @@
 	s.eventually(90*second, "it runs", func() bool { return job.RunningTasks() > 0 })
 	s.eventually(60*second, "it is done", toldState(protocol.JobDone, job))
 }
+
+// What happens without the mend: the first tasks of a job fail on two machines, and then the whole job
+// is sent to two others at once, before a third failure shows that it fails everywhere. Traced for
+// scenario seed 63, of three jobs with 24 tasks: each has 20 failures on two machines within three
+// seconds, and then 24 more on two others, 132 in all.
+//
+// The bound is that of TestCrashLoopingJobsAreBackedOff, half as many starts again as there are tasks,
+// for 40 orders of failures instead of one.
+func TestStartsOfJobsThatFailEverywhereAreBounded(t *testing.T) {
+	const jobs, tasks, seeds = 3, 24, 40
+	for seed := range uint64(seeds) {
+		s := newScenario(t, 61+seed)
+		for range jobs {
+			s.Users.Submit(simulation.Array(tasks), 10).FailsEverywhere = true
+		}
+		s.Users.Submit(simulation.Array(12), 25)
+		s.Run(s.Now + 180*second)
+		s.requireInvariants()
+		if failed := strings.Count(strings.Join(s.Logs, "\n"), "task failed"); failed > jobs*tasks*3/2 {
+			t.Errorf("seed %d: %d failed starts of %d tasks", 61+seed, failed, jobs*tasks)
+		}
+	}
+}
