core: a job that has failed on two machines is tried by one task at a time

Cause: all tasks were retried at once until a third machine had failed; where the first ones failed on two machines, the whole job went out again. Change: one task at a time from the second machine on, until a task has run for two heartbeats.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -13,7 +13,7 @@
 	round     *schedulingRound
 	job       *queuedJob
 	spec      *protocol.Job
-	canary    bool // of a crash-looping job one task is tried at a time
+	canary    bool // of an unproven job one task is tried at a time
 
 	machines []*candidateMachine // feasible for its tasks, in the order in which they are filled
 	next     int                 // the machines before this one have no room for its tasks, or it avoids them
@@ -35,7 +35,7 @@
 		q.reason = reason
 		return
 	}
-	canary := s.isCrashLooping(q)
+	canary := s.isUnproven(q)
 	if canary && !s.mayStartCanary(q) {
 		return
 	}
@@ -226,7 +226,9 @@
 	q.reservedAt = 0
 	switch {
 	case d.canary:
-		q.failures.canaries++
+		if s.isCrashLooping(q) {
+			q.failures.canaries++
+		}
 		q.reason = s.failureReason(q)
 		return false
 	case q.startsEarly:
--- a/internal/core/failures.go
+++ b/internal/core/failures.go
@@ -43,6 +43,15 @@
 	return len(q.failures.machines) >= crashLoopMachines && !q.provenToRun(&s.core.intervals)
 }
 
+// isUnproven reports whether one more machine would make a job crash-looping. It is tried by one
+// task at a time, too, but without growing intervals.
+//
+// Guards against the whole of a job that fails everywhere going out once more: its first tasks had
+// failed on two machines, and all of them were sent to two others at once.
+func (s *scheduler) isUnproven(q *queuedJob) bool {
+	return len(q.failures.machines) >= crashLoopMachines-1 && !q.provenToRun(&s.core.intervals)
+}
+
 // taskFailed backs off a failed task, and looks for a faulty machine or a faulty job.
 func (s *scheduler) taskFailed(view *machineView, q *queuedJob, index int) {
 	now, intervals := s.core.now.Monotonic, &s.core.intervals
@@ -93,8 +102,8 @@
 	return len(q.failures.machines) < crashLoopMachines && sinceFirst > 2*s.core.intervals.workerLease
 }
 
-// mayStartCanary reports whether a crash-looping job may start its next canary now, and notes why
-// not.
+// mayStartCanary reports whether a job that is tried by one task at a time may start the next
+// one now, and notes why not.
 func (s *scheduler) mayStartCanary(q *queuedJob) bool {
 	if len(q.inflight) > 0 || s.core.now.Monotonic < q.failures.nextCanaryAt {
 		q.reason = s.failureReason(q)
