core: acceptances and records of jobs in files of their own, dependencies checked in one step

No change of behaviour: records.go is split by what its functions read; submitDependent's flag is gone, since what is known of the named jobs is looked up once and decided on in one place.

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -55,7 +55,7 @@
 	}
 	record := records.Job{Spec: spec, State: protocol.JobQueued, SubmittedAt: c.now.Wall}
 	if len(spec.Dependencies) > 0 {
-		a.submitDependent(id, record, false)
+		a.submitDependent(id, record)
 		return
 	}
 	a.admit(submission{requestID: id, record: record})
--- a/internal/core/dependencies.go
+++ b/internal/core/dependencies.go
@@ -15,33 +15,55 @@
 // Jobs that need others: how they are accepted, and what the graph of package dag
 // says of them to the stored records and the leader.
 
-// submitDependent accepts a job that names others. afterBarrier: the mirror holds all that was
-// accepted before the request came.
-func (a *admission) submitDependent(id RequestID, record records.Job, afterBarrier bool) {
-	if a.replyIfUpgrading(id, "jobs that need others") {
-		return
-	}
-	var unmet []string
-	for _, name := range record.Spec.Dependencies {
-		j := a.core.records.acceptedJob(name)
+// dependencyCheck is what the mirror says of the jobs that a submission names.
+type dependencyCheck struct {
+	// unmet are those that are not done. What is done stays done. A cancelled one is unmet: that the
+	// job is aborted follows from that one's record on every node, and its own acceptance says no
+	// more than any other of it would.
+	unmet   []string
+	unknown string // one that was not accepted, as far as the mirror goes, empty: none
+	service string // one that is a service, which is never done, empty: none
+}
+
+// checkDependencies looks the named jobs up.
+func (r *storedRecords) checkDependencies(names []string) (check dependencyCheck) {
+	for _, name := range names {
+		j := r.acceptedJob(name)
 		switch {
-		case j == nil && !afterBarrier:
-			a.submitAfterBarrier(id, record)
-			return
 		case j == nil:
-			a.reject(id, record.Spec.ID, "it needs "+name+", which was never accepted: submit that one first")
-			return
+			check.unknown = name
 		case j.record.Spec.Kind == protocol.KindService:
-			a.reject(id, record.Spec.ID, "it needs "+name+", which is a service and is never done")
-			return
+			check.service = name
 		case j.record.State != protocol.JobDone:
-			unmet = append(unmet, name)
+			check.unmet = append(check.unmet, name)
 		}
 	}
-	// What is done stays done. A cancelled one is kept: that the job is aborted follows from that
-	// one's record on every node, and its own acceptance says no more than any other of it would.
-	record.Spec.Dependencies = unmet
-	a.admit(submission{requestID: id, record: record, namesDependencies: true})
+	return check
+}
+
+// submitDependent accepts a job that names others. If the mirror does not hold all of them it looks
+// again once it holds what was accepted before the request came.
+func (a *admission) submitDependent(id RequestID, record records.Job) {
+	check := a.core.records.checkDependencies(record.Spec.Dependencies)
+	if check.unknown != "" {
+		a.submitAfterBarrier(id, record)
+		return
+	}
+	a.decideDependent(id, record, check)
+}
+
+// decideDependent accepts or rejects a job by what is known of those that it names.
+func (a *admission) decideDependent(id RequestID, record records.Job, check dependencyCheck) {
+	switch {
+	case a.replyIfUpgrading(id, "jobs that need others"):
+	case check.unknown != "":
+		a.reject(id, record.Spec.ID, "it needs "+check.unknown+", which was never accepted: submit that one first")
+	case check.service != "":
+		a.reject(id, record.Spec.ID, "it needs "+check.service+", which is a service and is never done")
+	default:
+		record.Spec.Dependencies = check.unmet
+		a.admit(submission{requestID: id, record: record, namesDependencies: true})
+	}
 }
 
 // submitAfterBarrier looks again for the jobs that one needs once the mirror holds all that was
@@ -55,7 +77,7 @@
 		case c.records.acceptedJob(record.Spec.ID) != nil:
 			c.queries.replyCurrent(id, record.Spec.ID)
 		default:
-			a.submitDependent(id, record, true)
+			a.decideDependent(id, record, c.records.checkDependencies(record.Spec.Dependencies))
 		}
 	})
 }
--- a/internal/core/job_entry.go
+++ b/internal/core/job_entry.go
@@ -23,25 +23,6 @@
 	readyAt       float64           // time of day, in seconds, when the last job that it needs was done
 }
 
-// acceptance tells which of a job's stored records accepted it. Two nodes may accept one
-// submission, in two batches, or in a batch and then with the job's own key, since neither write
-// is guarded by the other. The first of them counts, on every node; a later one is void. What a
-// later record of the job's own key says (see records.Job.IsAcceptance) rests on the first one,
-// so it counts whatever was stored before.
-type acceptance struct {
-	version    uint64 // of the record that counts, 0: the job's own key has been changed since
-	ownKeyVoid bool   // the job's own key holds a later acceptance, which does not count
-}
-
-// isAcceptedBefore reports whether an accepting record of a version comes after the one that
-// counts, so that it is void.
-func (j *jobEntry) isAcceptedBefore(version uint64) bool {
-	return j.version > 0 && j.acceptance.version < version
-}
-
-// hasOwnRecord reports whether the job's own key holds the record that counts.
-func (j *jobEntry) hasOwnRecord() bool { return j.recordVersion > 0 && !j.acceptance.ownKeyVoid }
-
 // recordKey is where the job's own record is, or will be.
 func (j *jobEntry) recordKey() string {
 	if j.dependent {
