--- a/internal/core/acceptance_test.go
+++ b/internal/core/acceptance_test.go
@@ -59,6 +59,13 @@
 		h.first = record
 	}
 	prefix := map[bool]string{false: keyBatch, true: keyDependentBatch}[dependent]
+	if alone && rapid.Bool().Draw(t, "in chunks") {
+		nonce := fmt.Sprint("n-", h.revision)
+		h.put(chunkKey(acceptedTwiceID, nonce, 0), records.Chunk{Text: packRecord(record)})
+		h.ownKey = keyDependentJob + acceptedTwiceID
+		h.put(h.ownKey, records.Job{Spec: protocol.Job{ID: acceptedTwiceID}, State: protocol.JobQueued, Chunks: 1, ChunkNonce: nonce})
+		return
+	}
 	if alone {
 		h.ownKey = (&jobEntry{record: record, dependent: dependent}).recordKey()
 		h.put(h.ownKey, record)
