--- a/internal/tools/knownred/knownred_test.go
+++ b/internal/tools/knownred/knownred_test.go
@@ -128,3 +128,12 @@
 		}
 	}
 }
+
+// Whoever wrote a line that is refused finds it in the error.
+func TestMalformedLineIsNamed(t *testing.T) {
+	const line = "internal/core TestA, a cause, issue soon"
+	_, err := parseList("internal/core TestB, a cause, issue 7\n" + line + "\n")
+	if err == nil || !strings.Contains(err.Error(), line) {
+		t.Errorf("the error is %v, without %q", err, line)
+	}
+}
