--- a/review/stand/cloud.go
+++ b/review/stand/cloud.go
@@ -36,7 +36,7 @@
 	machines map[string]*Machine
 }
 
-// Add adds a machine that is up. The list has it from listedAt on.
+// Add adds a machine that is rented and up now. The list has it from listedAt on.
 func (c *Cloud) Add(i protocol.Instance, listedAt time.Time) Machine {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -44,7 +44,7 @@
 		c.machines = map[string]*Machine{}
 	}
 	i.State = protocol.MachineRunning
-	m := &Machine{Instance: i, rentedAt: time.Now().Add(-time.Minute), listedAt: listedAt}
+	m := &Machine{Instance: i, rentedAt: time.Now(), listedAt: listedAt}
 	c.machines[i.Name] = m
 	return *m
 }
