--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -47,6 +48,9 @@
 
 // StartState starts the state service with the depot, as deploy/state.json has it.
 func (s *Site) StartState() {
+	if err := os.MkdirAll(s.Run.Path("snapshots"), 0o700); err != nil {
+		panic(err)
+	}
 	path := s.Run.WriteJSON("state.json", map[string]any{
 		"listen": s.State, "depot_listen": s.Depot,
 		"file": s.Run.Path("state.db"), "depot_folder": s.Run.Path("depot"),
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -128,6 +128,12 @@
 	r.Log("started %s, process %d", name, cmd.Process.Pid)
 }
 
+// Output runs a program of target/ to its end and returns what it printed.
+func (r *Run) Output(program string, args ...string) (string, error) {
+	out, err := exec.Command(filepath.Join(r.root, "target", program), args...).CombinedOutput()
+	return string(out), err
+}
+
 // startLocked starts a command from a thread that lasts as long as this process, since the kernel
 // sends the signal of Pdeathsig when the thread ends.
 func (r *Run) startLocked(cmd *exec.Cmd) error {
