--- a/review/stand-2/case_address.go
+++ b/review/stand-2/case_address.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-func init() { cases["4"] = addressReused }
+func init() { cases["5"] = addressReused }
 
 // addressReused takes back a spot machine without a notice while a user's work has another machine
 // rented, of another type. With the trouble, the new machine gets the address of the old one.
--- a/review/stand-2/processes.go
+++ b/review/stand-2/processes.go
@@ -82,6 +82,22 @@
 	<-exited
 }
 
+// terminate asks the process to end, and kills it if it takes too long.
+func (p *process) terminate(timeout time.Duration) {
+	p.mu.Lock()
+	p.wanted = true
+	cmd, exited := p.cmd, p.exited
+	p.mu.Unlock()
+	p.run.log("terminate %s", p.name)
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-exited:
+	case <-time.After(timeout):
+		_ = cmd.Process.Kill()
+		<-exited
+	}
+}
+
 // endedByItself reports how often the process has ended without a signal of the case.
 func (p *process) endedByItself() int {
 	p.mu.Lock()
