--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o target/chalkhubctl ./cmd/chalkhubctl
-go build -o target/review-2 ./review/stand-2
+go build -o target/review-second ./review/stand-2
--- a/review/stand-2/cloud.go
+++ b/review/stand-2/cloud.go
@@ -31,8 +31,6 @@
 	capacity map[string]int // by type, zone and kind; missing: no limit
 	boot     time.Duration  // of every machine, 0: as the type says
 	stopped  bool
-	// freed holds addresses of machines that were taken back, for the next machines that are created.
-	freed []string
 }
 
 func newCloud(s *site) *cloud {
@@ -125,11 +123,7 @@
 // add creates a machine that boots. The caller holds the lock.
 func (c *cloud) add(placed placedMachine) *worker {
 	c.last++
-	addr := "127.0.0.1:0"
-	if len(c.freed) > 0 {
-		addr, c.freed = c.freed[0], c.freed[1:]
-	}
-	m := newWorker(c.site, fmt.Sprintf("n-%06d", c.last), c.typeOf(placed.typeName), placed.zone, placed.spot, addr)
+	m := newWorker(c.site, fmt.Sprintf("n-%06d", c.last), c.typeOf(placed.typeName), placed.zone, placed.spot)
 	c.machines[m.name] = m
 	boot := time.Duration(m.typ.bootS * float64(time.Second))
 	if c.boot > 0 {
@@ -139,24 +133,6 @@
 	return m
 }
 
-// limit sets how many machines of a type, zone and kind there are at most.
-func (c *cloud) limit(typeName, zone string, spot bool, count int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.capacity[pool(typeName, zone, spot)] = count
-}
-
-// takeBack ends a spot machine without a notice. If reuse is set, the next machine gets its address.
-func (c *cloud) takeBack(m *worker, reuse bool) {
-	m.remove()
-	c.site.log("cloud takes back %s, whose address was %s", m.name, m.addr)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if reuse {
-		c.freed = append(c.freed, m.addr)
-	}
-}
-
 // addRunning creates a machine that is up at once.
 func (c *cloud) addRunning(placed placedMachine) {
 	c.mu.Lock()
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -1,4 +1,4 @@
-// Command review-2 runs one case of the second review: it starts the project's own programs as
+// Command review-second runs one case of the second review: it starts the project's own programs as
 // separate processes on loopback addresses, plays users, workers and the cloud, and checks a rule.
 //
 // The exit code is 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
@@ -22,7 +22,7 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-2 CASE RECORD, from the root of the repository")
+		fmt.Fprintln(os.Stderr, "usage: review-second CASE RECORD, from the root of the repository")
 		os.Exit(exitNotRun)
 	}
 	os.Exit(play(cases[os.Args[1]], os.Args[2]))
@@ -48,7 +48,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	dir, err := os.MkdirTemp("", "review-2-")
+	dir, err := os.MkdirTemp("", "review-second-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -64,8 +64,8 @@
 	clients    []*http.Client
 }
 
-func newWorker(s *site, name string, t *machineType, zone string, spot bool, listenOn string) *worker {
-	listener, err := net.Listen("tcp4", listenOn)
+func newWorker(s *site, name string, t *machineType, zone string, spot bool) *worker {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		giveUp("listen: %v", err)
 	}
