--- a/review/stand-2/case_hang.go
+++ b/review/stand-2/case_hang.go
@@ -99,13 +99,17 @@
 	if r.trouble {
 		stopped = hang(agent)
 	}
+	goOn := func() {
+		for _, pid := range stopped {
+			_ = syscall.Kill(pid, syscall.SIGCONT)
+		}
+	}
+	r.atEnd(goOn)
 	machine, hungAt := begun[0].machine, time.Now()
 	r.log("machine %s hangs: %v, %d processes, %d of %d tasks have begun", machine, r.trouble, len(stopped), len(readLines(list)), hangTasks)
 	time.Sleep(time.Until(hungAt.Add(hangTime)))
 	before := len(readLines(list))
-	for _, pid := range stopped {
-		_ = syscall.Kill(pid, syscall.SIGCONT)
-	}
+	goOn()
 	r.log("machine %s goes on after %.1f s, %d lines are written", machine, time.Since(hungAt).Seconds(), before)
 	_, _ = s.ctl("wait", "--timeout", "40s", id) // the rule is checked however the job ends
 	checkLines(r, readLines(list))
--- a/review/stand-2/cloud.go
+++ b/review/stand-2/cloud.go
@@ -133,6 +133,13 @@
 	return m
 }
 
+// limit sets how many machines of a type, zone and kind there are at most.
+func (c *cloud) limit(typeName, zone string, spot bool, count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.capacity[pool(typeName, zone, spot)] = count
+}
+
 // addRunning creates a machine that is up at once.
 func (c *cloud) addRunning(placed placedMachine) {
 	c.mu.Lock()
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -7,7 +7,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -34,6 +38,33 @@
 	root    string // of the repository
 	dir     string // temporary folder
 	trouble bool
+
+	mu      sync.Mutex
+	endings []func()
+}
+
+// atEnd has a function called if the run is interrupted by a signal; the newest one comes first.
+func (r *run) atEnd(end func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endings = append(r.endings, end)
+}
+
+// endOnSignal ends what the run has started, and this process, on SIGINT and SIGTERM.
+func (r *run) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		r.log("interrupted by %v", <-signals)
+		r.mu.Lock()
+		endings := slices.Clone(r.endings)
+		r.mu.Unlock()
+		for _, end := range slices.Backward(endings) {
+			end()
+		}
+		_ = os.RemoveAll(r.dir)
+		os.Exit(exitNotRun)
+	}()
 }
 
 // notRun is the value with which a case panics if it can't run.
@@ -61,6 +92,7 @@
 	}
 	defer rec.close()
 	r := &run{record: rec, root: root, dir: dir, trouble: os.Getenv("TROUBLE") != "0"}
+	r.endOnSignal()
 	rec.log("case starts, trouble %v", r.trouble)
 	defer func() {
 		switch reason := recover().(type) {
--- a/review/stand-2/processes.go
+++ b/review/stand-2/processes.go
@@ -29,6 +29,7 @@
 func (r *run) start(name string, args ...string) *process {
 	p := &process{run: r, name: name, args: args}
 	p.launch()
+	r.atEnd(func() { p.terminate(10 * time.Second) })
 	return p
 }
 
@@ -219,6 +220,17 @@
 	}
 }
 
+// siteObjectives are aims of the site for its classes, in the form of the deploy page.
+func siteObjectives() []map[string]any {
+	return []map[string]any{
+		{"kind": "deadline", "class": "orderchecks", "share": 0.94, "times": 1.0},
+		{"kind": "wait", "class": "confirmations", "within_s": 35.0, "share": 0.975},
+		{"kind": "finished", "class": "confirmations", "within_s": 50.0, "share": 0.96},
+		{"kind": "finished", "class": "dailyreports", "within_s": 250.0, "share": 0.97},
+		{"kind": "finished", "class": "dailyreports", "within_s": 400.0, "share": 0.97},
+	}
+}
+
 // newSite starts a deployment and waits until its controllers are ready.
 func newSite(r *run, settings siteSettings) *site {
 	s := &site{run: r, settings: settings}
@@ -266,7 +278,7 @@
 		"label": c.label, "area": set.zones[0], "serve_on": c.serve, "peer_listen": c.peer, "siblings": siblings,
 		"external": map[string]any{"cloud": c.toCloud.addr(), "state": c.toState.addr()},
 		"settings": map[string]any{
-			"initial_size": set.controllers, "zones": set.zones, "teams": set.teams, "objectives": []any{},
+			"initial_size": set.controllers, "zones": set.zones, "teams": set.teams, "objectives": siteObjectives(),
 			"workers":        map[string]any{"report_s": set.reportS, "lease_s": set.leaseS, "gang_wait_s": 50.0, "gang_peer_s": 4.0, "cancel_s": set.cancelS},
 			"state":          state,
 			"cloud":          map[string]any{"rps": set.cloudRPS, "list_lag_s": set.listLagS},
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -479,3 +479,16 @@
 	defer m.mu.Unlock()
 	change(m)
 }
+
+// freeCPUs returns the CPUs that no task on the machine takes, those of fetching tasks included.
+func (m *worker) freeCPUs() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	free := m.typ.cpus
+	for _, l := range m.lots {
+		if l.State != protocol.TaskExited {
+			free -= l.job.cpus
+		}
+	}
+	return free
+}
