--- a/review/stand-2/checker.go
+++ b/review/stand-2/checker.go
@@ -15,11 +15,10 @@
 	jobs map[string]*job
 	on   map[string]map[*worker]*lot // by task: the machines that it is on
 	over map[string]bool             // tasks that have completed
-	seen map[string]bool             // tasks that have begun at least once
 }
 
 func newChecker(s *site) *checker {
-	c := &checker{site: s, done: make(chan struct{}), jobs: map[string]*job{}, on: map[string]map[*worker]*lot{}, over: map[string]bool{}, seen: map[string]bool{}}
+	c := &checker{site: s, done: make(chan struct{}), jobs: map[string]*job{}, on: map[string]map[*worker]*lot{}, over: map[string]bool{}}
 	go c.watch()
 	return c
 }
@@ -68,7 +67,6 @@
 		}
 	}
 	c.checkPlace(m, l)
-	c.seen[l.Task] = true
 	if c.on[l.Task] == nil {
 		c.on[l.Task] = map[*worker]*lot{}
 	}
@@ -167,24 +165,3 @@
 		c.mu.Unlock()
 	}
 }
-
-// hasBegun reports whether a task has begun at least once.
-func (c *checker) hasBegun(task string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.seen[task]
-}
-
-// usedBy returns the CPUs that a team's tasks use.
-func (c *checker) usedBy(name string) (cpus float64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, machines := range c.on {
-		for _, l := range machines {
-			if l.job.team == name {
-				cpus += l.job.cpus
-			}
-		}
-	}
-	return cpus
-}
--- a/review/stand-2/cloud.go
+++ b/review/stand-2/cloud.go
@@ -28,8 +28,7 @@
 	machines map[string]*worker
 	byHire   map[string][]string
 	last     int
-	capacity map[string]int // by type, zone and kind; missing: no limit
-	boot     time.Duration  // of every machine, 0: as the type says
+	boot     time.Duration // of every machine, 0: as the type says
 	stopped  bool
 }
 
@@ -38,7 +37,7 @@
 	if err != nil {
 		giveUp("listen: %v", err)
 	}
-	c := &cloud{site: s, addr: listener.Addr().String(), machines: map[string]*worker{}, byHire: map[string][]string{}, capacity: map[string]int{}}
+	c := &cloud{site: s, addr: listener.Addr().String(), machines: map[string]*worker{}, byHire: map[string][]string{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /machine_types", c.types)
 	mux.HandleFunc("POST /machines", c.create)
@@ -82,8 +81,6 @@
 	return nil
 }
 
-func pool(typeName, zone string, spot bool) string { return fmt.Sprint(typeName, " ", zone, " ", spot) }
-
 func (c *cloud) create(w http.ResponseWriter, req *http.Request) {
 	var hire protocol.CreateMachinesRequest
 	if err := read(req, &hire); err != nil || c.typeOf(hire.Type) == nil || hire.Count < 1 || hire.Count > 50 {
@@ -93,29 +90,12 @@
 	c.mu.Lock()
 	names, known := c.byHire[hire.RequestID]
 	if !known {
-		p, used := pool(hire.Type, hire.Zone, hire.Spot), 0
-		for _, m := range c.machines {
-			if pool(m.typ.name, m.zone, m.spot) == p && !m.isRemoved() {
-				used++
-			}
-		}
-		limit, limited := c.capacity[p]
 		for range hire.Count {
-			if limited && used >= limit {
-				break
-			}
-			used++
 			names = append(names, c.add(placedMachine{hire.Type, hire.Zone, hire.Spot}).name)
 		}
-		if len(names) > 0 {
-			c.byHire[hire.RequestID] = names
-		}
+		c.byHire[hire.RequestID] = names
 	}
 	c.mu.Unlock()
-	if len(names) == 0 {
-		reply(w, http.StatusServiceUnavailable, map[string]any{"error": "no capacity"})
-		return
-	}
 	c.site.log("cloud rents out %v as %s %s spot %v", names, hire.Type, hire.Zone, hire.Spot)
 	reply(w, http.StatusOK, map[string]any{"Rigs": names})
 }
@@ -133,13 +113,6 @@
 	return m
 }
 
-// limit sets how many machines of a type, zone and kind there are at most.
-func (c *cloud) limit(typeName, zone string, spot bool, count int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.capacity[pool(typeName, zone, spot)] = count
-}
-
 // addRunning creates a machine that is up at once.
 func (c *cloud) addRunning(placed placedMachine) {
 	c.mu.Lock()
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -80,12 +80,6 @@
 	return !m.upAt.IsZero() && m.removedAt.IsZero()
 }
 
-func (m *worker) isRemoved() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return !m.removedAt.IsZero()
-}
-
 func (m *worker) existedAt(t time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -479,16 +473,3 @@
 	defer m.mu.Unlock()
 	change(m)
 }
-
-// freeCPUs returns the CPUs that no task on the machine takes, those of fetching tasks included.
-func (m *worker) freeCPUs() float64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	free := m.typ.cpus
-	for _, l := range m.lots {
-		if l.State != protocol.TaskExited {
-			free -= l.job.cpus
-		}
-	}
-	return free
-}
