--- a/review/stand-2/case_hang.go
+++ b/review/stand-2/case_hang.go
@@ -115,9 +115,8 @@
 	checkLines(r, readLines(list))
 }
 
-// checkLines checks that no attempt of a task begins on one machine between the begin and the end of
-// another attempt on another machine. An attempt that is killed writes no end; its task's next attempt
-// takes its place.
+// checkLines checks that no attempt of a task begins on one machine between the begin and the end of a
+// newer attempt on another machine. An attempt that writes no end doesn't count: it may have been killed.
 func checkLines(r *run, lines []line) {
 	on := map[string]line{} // by task: the newest attempt that has begun and not ended
 	for i, l := range lines {
@@ -126,7 +125,7 @@
 		switch {
 		case l.what == "ends":
 			delete(on, l.task)
-		case running && other.machine != l.machine && olderAttempt(l.attempt, other.attempt):
+		case running && other.machine != l.machine && olderAttempt(l.attempt, other.attempt) && ends(lines[i:], other):
 			r.violate("ran_twice", "task %s starts on %s as attempt %s while attempt %s is on %s", l.task, l.machine, l.attempt, other.attempt, other.machine)
 		default:
 			on[l.task] = l
@@ -134,6 +133,12 @@
 	}
 }
 
+// ends reports whether an attempt writes its end later.
+func ends(later []line, begun line) bool {
+	begun.what = "ends"
+	return slices.Contains(later, begun)
+}
+
 // olderAttempt reports whether an attempt was given out before another one.
 func olderAttempt(a, b string) bool {
 	x, errX := strconv.ParseUint(a, 10, 64)
